--- /dev/null
+++ b/dispatch/effect.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"time"
+
+	"samphireplank.example/samphireplank/job"
+)
+
+// Effect is an action that the caller of Core executes.
+type Effect interface{ effect() }
+
+// Start sends one task to an endpoint; the caller answers with exactly one TaskFinished.
+type Start struct {
+	Job      job.ID
+	Task     int
+	Attempt  int
+	Kind     string
+	Path     string
+	Endpoint string
+	Address  string
+	Slot     uint64
+	Timeout  time.Duration
+}
+
+// Finish answers a job; it is emitted exactly once for each Submit.
+type Finish struct {
+	Job        job.ID
+	Outcome    job.Outcome
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Forward offers a job that is not admitted here to an entry VM of another zone; it takes the place of Finish.
+type Forward struct {
+	Job  job.ID
+	Peer string // id of the entry VM
+}
+
+// Probe sends a health probe to an endpoint; the caller answers with ProbeFinished.
+type Probe struct {
+	Endpoint string
+	Address  string
+	Path     string
+}
+
+func (Start) effect()   {}
+func (Finish) effect()  {}
+func (Forward) effect() {}
+func (Probe) effect()   {}
--- /dev/null
+++ b/dispatch/message.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"time"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/endpoint"
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Message is an event that Core reacts to.
+type Message interface{ message() }
+
+// Submit offers a job for admission.
+type Submit struct {
+	Job       job.ID
+	Kind      string
+	Team      string
+	Tasks     int
+	Deadline  time.Time
+	Forwarded bool // came from another zone and is not forwarded again
+}
+
+// Cancel withdraws a job; tasks in flight are not interrupted.
+type Cancel struct{ Job job.ID }
+
+// TaskFinished reports the end of a Start.
+type TaskFinished struct {
+	Job      job.ID
+	Task     int
+	Endpoint string
+	Slot     uint64 // the slot id of the Start
+	Result   endpoint.Result
+	RunTime  time.Duration
+}
+
+// Tick lets time pass; it is sent every TickInterval.
+type Tick struct{}
+
+// EndpointsChanged gives all endpoints of the service in the own zone.
+type EndpointsChanged struct{ Endpoints []platform.VM }
+
+// EntriesChanged gives all live entry VMs of the own zone, including this one.
+type EntriesChanged struct{ Entries []platform.VM }
+
+// ConfigurationChanged puts a set of objects in force.
+type ConfigurationChanged struct{ Set *contract.Set }
+
+// ProbeFinished reports the end of a Probe.
+type ProbeFinished struct {
+	Endpoint string
+	Healthy  bool
+}
+
+// Drain starts the graceful shutdown: borrowed slots are returned as they fall idle and owned endpoints are handed over.
+type Drain struct{}
+
+func (Submit) message()               {}
+func (Cancel) message()               {}
+func (TaskFinished) message()         {}
+func (Tick) message()                 {}
+func (EndpointsChanged) message()     {}
+func (EntriesChanged) message()       {}
+func (ConfigurationChanged) message() {}
+func (ProbeFinished) message()        {}
+func (Drain) message()                {}
--- /dev/null
+++ b/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint judges the health of endpoints and sends tasks to them over HTTP.
+package endpoint
--- /dev/null
+++ b/job/doc.go
@@ -0,0 +1,2 @@
+// Package job holds the data of submissions: ids, outcomes, results and answers.
+package job
