Add the caller interface, the endpoint client and the link between entry VMs

Weighed for the endpoint client: fasthttp.HostClient with attempts set to 1, against fasthttp's codecs over a pool of our own. HostClient doesn't say how many bytes were written, returns the connection to its pool before the Task-Id of the answer can be checked, and drops bytes that follow an answer, so a late or second answer could reach another task. The own pool is used. A connection that carried a refusal or a failure is closed as well, since the same Task-Id may be sent again and a second copy of the first answer would pass for the second answer.

Weighed for the link: net/http sends a request again over HTTP/2 after a refused stream or GOAWAY, because connect sets GetBody on unary requests. The transport hides GetBody. Reports use a connection of their own, so that large submissions don't delay them.

Nothing is measured yet.

--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,8 @@
+// Package caller serves callers over HTTP/1.1 and JSON: tickets, jobs and single requests.
+//
+//	server := caller.NewServer(caller.Config{Dispatcher: dispatcher})
+//	group.Go(func() error { return server.Serve(listener) })
+//	// on SIGTERM
+//	server.Drain()
+//	err := server.Shutdown(ctx)
+package caller
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,205 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/job"
+)
+
+// Bounds that hold where Config leaves a field zero.
+const (
+	DefaultMaxBody     = 1 << 20 // bytes
+	DefaultMaxHeader   = 8 << 10 // bytes
+	DefaultMaxDeadline = 30 * time.Second
+	DefaultMaxRequests = 16384
+	DefaultReadTimeout = 10 * time.Second
+	DefaultIdleTimeout = 75 * time.Second
+)
+
+// MaxTickets is the largest number of ids that one request may ask for.
+const MaxTickets = 1000
+
+// answerGrace is added to the deadline of a job that a caller waits for: the answer is formed at the deadline, so a
+// wait that ended at the same moment would miss it.
+const answerGrace = 2 * time.Second
+
+// Config holds the settings of a Server; zero bounds take the defaults.
+type Config struct {
+	Dispatcher  Dispatcher
+	Ready       func() error            // nil error when callers may send work; optional
+	Metrics     fasthttp.RequestHandler // of GET /metrics; optional
+	Status      fasthttp.RequestHandler // of GET /v1/status; optional
+	MaxBody     int                     // bytes of a request's body
+	MaxHeader   int                     // bytes of a request's headers
+	MaxTasks    int                     // tasks of one job
+	MaxDeadline time.Duration           // longest deadline that a caller may set, and longest wait for an answer
+	MaxRequests int                     // requests in progress
+	ReadTimeout time.Duration           // from the first byte of a request to its last
+	IdleTimeout time.Duration           // of a connection between two requests
+	Now         func() time.Time        // clock for deadlines
+}
+
+// Server answers callers.
+type Server struct {
+	config   Config
+	http     *fasthttp.Server
+	requests atomic.Int64 // in progress
+	draining atomic.Bool
+}
+
+// NewServer returns a server that doesn't listen yet.
+func NewServer(config Config) *Server {
+	config.setDefaults()
+	s := &Server{config: config}
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.handleReadError,
+		Concurrency:                  2*config.MaxRequests + 1024, // above MaxRequests, so that most excess is answered in JSON
+		ReadBufferSize:               config.MaxHeader,
+		MaxRequestBodySize:           config.MaxBody,
+		ReadTimeout:                  config.ReadTimeout,
+		IdleTimeout:                  config.IdleTimeout,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		Logger:                       silent{},
+	}
+	return s
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	setDefault(&c.MaxHeader, DefaultMaxHeader)
+	setDefault(&c.MaxTasks, job.MaxTasks)
+	setDefault(&c.MaxDeadline, DefaultMaxDeadline)
+	setDefault(&c.MaxRequests, DefaultMaxRequests)
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Ready == nil {
+		c.Ready = func() error { return nil }
+	}
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Serve answers callers on the listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+
+// Drain turns readiness off and closes each connection after its next answer; new requests are still served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown stops listening, waits until all requests in progress are answered, and returns an error if ctx ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// InProgress returns the number of requests that wait for their answer.
+func (s *Server) InProgress() int { return int(s.requests.Load()) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	s.route(ctx)
+}
+
+const (
+	pathJob  = "/v1/jobs/"
+	pathKind = "/v1/kinds/"
+)
+
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/jobs":
+		s.only(ctx, fasthttp.MethodPost, s.bounded(s.submit))
+	case strings.HasPrefix(path, pathJob):
+		s.bounded(s.job)(ctx)
+	case strings.HasPrefix(path, pathKind):
+		s.only(ctx, fasthttp.MethodPost, s.bounded(s.single))
+	case path == "/v1/tickets":
+		s.only(ctx, fasthttp.MethodPost, s.bounded(s.tickets))
+	case path == "/livez":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		s.readyz(ctx)
+	case path == "/metrics" && s.config.Metrics != nil:
+		s.only(ctx, fasthttp.MethodGet, s.config.Metrics)
+	case path == "/v1/status" && s.config.Status != nil:
+		s.only(ctx, fasthttp.MethodGet, s.config.Status)
+	default:
+		s.writeStatus(ctx, fasthttp.StatusNotFound, job.ID{}, "no such path")
+	}
+}
+
+func (s *Server) only(ctx *fasthttp.RequestCtx, method string, handler fasthttp.RequestHandler) {
+	if string(ctx.Method()) != method {
+		ctx.Response.Header.Set("Allow", method)
+		s.writeStatus(ctx, fasthttp.StatusMethodNotAllowed, job.ID{}, "method not allowed, use "+method)
+		return
+	}
+	handler(ctx)
+}
+
+// bounded refuses requests beyond the bound on requests in progress; health and metrics are not counted.
+func (s *Server) bounded(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer s.requests.Add(-1)
+		if s.requests.Add(1) > int64(s.config.MaxRequests) {
+			s.writeError(ctx, job.ID{}, &NotRunError{Reason: "too many requests in progress", RetryAfter: time.Second})
+			return
+		}
+		handler(ctx)
+	}
+}
+
+func (s *Server) readyz(ctx *fasthttp.RequestCtx) {
+	err := s.config.Ready()
+	if s.draining.Load() {
+		err = errors.New("stopping")
+	}
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString(err.Error() + "\n")
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
+// handleReadError answers a request that could not be read; nothing of it was passed on.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		s.writeError(ctx, job.ID{}, tooLarge("body is larger than %d bytes", s.config.MaxBody))
+	case errors.As(err, &small):
+		s.writeStatus(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, job.ID{}, "headers are too large")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		s.writeStatus(ctx, fasthttp.StatusRequestTimeout, job.ID{}, "request was not complete within "+s.config.ReadTimeout.String())
+	default:
+		s.writeStatus(ctx, fasthttp.StatusBadRequest, job.ID{}, "malformed HTTP request")
+	}
+}
+
+// silent drops the lines that fasthttp logs about connections.
+type silent struct{}
+
+// Printf does nothing.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/link/client.go
@@ -0,0 +1,194 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"samphireplank.example/samphireplank/link/linkpb"
+)
+
+// Times that hold where ClientConfig leaves a field zero.
+const (
+	DefaultDialTimeout     = 500 * time.Millisecond
+	DefaultExchangeTimeout = 500 * time.Millisecond
+	DefaultCallTimeout     = 35 * time.Second // above the longest deadline of a job
+)
+
+// A connection without a frame from the peer for the ping interval is pinged, and closed when the ping isn't answered
+// in the same time. After a partition, TCP alone would wait for its next retransmission, up to a minute. Connections
+// that carry submissions wait longer, since closing one makes the submissions on it unknown.
+const (
+	controlPing = time.Second
+	callPing    = 5 * time.Second
+)
+
+// ClientConfig holds the settings of a Client.
+type ClientConfig struct {
+	DialTimeout     time.Duration
+	ExchangeTimeout time.Duration // of Exchange
+	CallTimeout     time.Duration // of the other calls, unless their context ends earlier
+	MaxMessage      int           // bytes of an answer
+	Dial            func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Client calls peers over two connections each: one for Exchange, so that large submissions don't delay it, and one
+// for the other calls.
+type Client struct {
+	config ClientConfig
+	mu     sync.RWMutex
+	peers  map[string]*peer // by address
+}
+
+// peer holds the connections to one entry VM.
+type peer struct {
+	control, calls *http.Transport
+	exchange, call linkpb.LinkClient
+}
+
+// Error says which call to a peer failed and whether the peer may have got it.
+type Error struct {
+	Address string
+	Call    string
+	Sent    bool // bytes of the call may have reached the peer
+	Err     error
+}
+
+// Error describes the failed call.
+func (e *Error) Error() string {
+	state := "not sent"
+	if e.Sent {
+		state = "may have been received"
+	}
+	return fmt.Sprintf("%s to entry VM at %s failed, %s: %v", e.Call, e.Address, state, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// NewClient returns a client without connections.
+func NewClient(config ClientConfig) *Client {
+	setDefault(&config.DialTimeout, DefaultDialTimeout)
+	setDefault(&config.ExchangeTimeout, DefaultExchangeTimeout)
+	setDefault(&config.CallTimeout, DefaultCallTimeout)
+	setDefault(&config.MaxMessage, DefaultMaxMessage)
+	if config.Dial == nil {
+		dialer := &net.Dialer{Timeout: config.DialTimeout}
+		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Client{config: config, peers: make(map[string]*peer)}
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Exchange sends a batch and returns the batch of the peer.
+func (c *Client) Exchange(ctx context.Context, address string, batch *linkpb.Batch) (*linkpb.Batch, error) {
+	return send(ctx, address, "exchange", c.config.ExchangeTimeout, c.peer(address).exchange.Exchange, batch)
+}
+
+// Forward sends a submission at most once and returns its answer; an *Error with Sent leaves open whether it ran.
+func (c *Client) Forward(ctx context.Context, address string, r *linkpb.ForwardRequest) (*linkpb.Answer, error) {
+	return send(ctx, address, "forward", c.config.CallTimeout, c.peer(address).call.Forward, r)
+}
+
+// Lookup asks the home of an id for its answer.
+func (c *Client) Lookup(ctx context.Context, address string, r *linkpb.LookupRequest) (*linkpb.Answer, error) {
+	return send(ctx, address, "lookup", c.config.CallTimeout, c.peer(address).call.Lookup, r)
+}
+
+// Cancel withdraws an id at its home.
+func (c *Client) Cancel(ctx context.Context, address string, r *linkpb.CancelRequest) (*linkpb.Answer, error) {
+	return send(ctx, address, "cancel", c.config.CallTimeout, c.peer(address).call.Cancel, r)
+}
+
+// State asks a peer for parts of its state.
+func (c *Client) State(ctx context.Context, address string, r *linkpb.StateRequest) (*linkpb.StateResponse, error) {
+	return send(ctx, address, "state", c.config.CallTimeout, c.peer(address).call.State, r)
+}
+
+// send makes one call within the timeout and notes whether a connection was used for it.
+func send[Q, A any](ctx context.Context, address, name string, timeout time.Duration, call func(context.Context, *Q) (*A, error), request *Q) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sent := &sentMark{}
+	answer, err := call(context.WithValue(ctx, sentKey{}, sent), request)
+	if err != nil {
+		return nil, &Error{Address: address, Call: name, Sent: sent.get(), Err: err}
+	}
+	return answer, nil
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.RLock()
+	p := c.peers[address]
+	c.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p = c.peers[address]; p == nil {
+		p = c.newPeer(address)
+		c.peers[address] = p
+	}
+	return p
+}
+
+func (c *Client) newPeer(address string) *peer {
+	p := &peer{control: c.transport(controlPing), calls: c.transport(callPing)}
+	p.exchange = c.linkClient(p.control, address)
+	p.call = c.linkClient(p.calls, address)
+	return p
+}
+
+func (c *Client) linkClient(transport *http.Transport, address string) linkpb.LinkClient {
+	client := &http.Client{Transport: onceTransport{transport}}
+	return linkpb.NewLinkClient(client, "http://"+address, connect.WithReadMaxBytes(c.config.MaxMessage))
+}
+
+func (c *Client) transport(ping time.Duration) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return c.config.Dial(ctx, address)
+		},
+		Protocols:          protocols,
+		DisableCompression: true, // connect asks for compression itself
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: ping},
+	}
+}
+
+// Forget closes the connections to a peer that is gone, once its calls have ended.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.control.CloseIdleConnections()
+		p.calls.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		p.control.CloseIdleConnections()
+		p.calls.CloseIdleConnections()
+		delete(c.peers, address)
+	}
+}
