--- a/caller/server.go
+++ b/caller/server.go
@@ -15,12 +15,13 @@
 
 // Bounds that hold where Config leaves a field zero.
 const (
-	DefaultMaxBody     = 1 << 20 // bytes
-	DefaultMaxHeader   = 8 << 10 // bytes
-	DefaultMaxDeadline = 30 * time.Second
-	DefaultMaxRequests = 16384
-	DefaultReadTimeout = 10 * time.Second
-	DefaultIdleTimeout = 75 * time.Second
+	DefaultMaxBody      = 1 << 20 // bytes
+	DefaultMaxHeader    = 8 << 10 // bytes
+	DefaultMaxDeadline  = 30 * time.Second
+	DefaultMaxRequests  = 16384
+	DefaultReadTimeout  = 10 * time.Second
+	DefaultIdleTimeout  = 75 * time.Second
+	DefaultWriteTimeout = 30 * time.Second
 )
 
 // MaxTickets is the largest number of ids that one request may ask for.
@@ -32,18 +33,19 @@
 
 // Config holds the settings of a Server; zero bounds take the defaults.
 type Config struct {
-	Dispatcher  Dispatcher
-	Ready       func() error            // nil error when callers may send work; optional
-	Metrics     fasthttp.RequestHandler // of GET /metrics; optional
-	Status      fasthttp.RequestHandler // of GET /v1/status; optional
-	MaxBody     int                     // bytes of a request's body
-	MaxHeader   int                     // bytes of a request's headers
-	MaxTasks    int                     // tasks of one job
-	MaxDeadline time.Duration           // longest deadline that a caller may set, and longest wait for an answer
-	MaxRequests int                     // requests in progress
-	ReadTimeout time.Duration           // from the first byte of a request to its last
-	IdleTimeout time.Duration           // of a connection between two requests
-	Now         func() time.Time        // clock for deadlines
+	Dispatcher   Dispatcher
+	Ready        func() error            // nil error when callers may send work; optional
+	Metrics      fasthttp.RequestHandler // of GET /metrics; optional
+	Status       fasthttp.RequestHandler // of GET /v1/status; optional
+	MaxBody      int                     // bytes of a request's body
+	MaxHeader    int                     // bytes of a request's headers
+	MaxTasks     int                     // tasks of one job
+	MaxDeadline  time.Duration           // longest deadline that a caller may set, and longest wait for an answer
+	MaxRequests  int                     // requests in progress
+	ReadTimeout  time.Duration           // from the first byte of a request to its last
+	WriteTimeout time.Duration           // for a caller to take its answer
+	IdleTimeout  time.Duration           // of a connection between two requests
+	Now          func() time.Time        // clock for deadlines
 }
 
 // Server answers callers.
@@ -82,6 +84,7 @@
 	setDefault(&c.MaxDeadline, DefaultMaxDeadline)
 	setDefault(&c.MaxRequests, DefaultMaxRequests)
 	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	if c.Now == nil {
 		c.Now = time.Now
@@ -98,7 +101,9 @@
 }
 
 // Serve answers callers on the listener until Shutdown.
-func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+func (s *Server) Serve(listener net.Listener) error {
+	return s.http.Serve(lingeringListener{listener})
+}
 
 // Drain turns readiness off and closes each connection after its next answer; new requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -117,6 +122,9 @@
 		ctx.SetConnectionClose()
 	}
 	s.route(ctx)
+	// A deadline set here also makes fasthttp send the answer at once; otherwise it holds an answer back while a later
+	// request on the same connection is in its buffer, and that one may wait for seconds.
+	_ = ctx.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
 }
 
 const (
@@ -186,12 +194,16 @@
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
+	timedOut := errors.As(err, &timeout) && timeout.Timeout()
+	if c, ok := ctx.Conn().(*lingeringConn); ok {
+		c.linger = !timedOut
+	}
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		s.writeError(ctx, job.ID{}, tooLarge("body is larger than %d bytes", s.config.MaxBody))
 	case errors.As(err, &small):
 		s.writeStatus(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, job.ID{}, "headers are too large")
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case timedOut:
 		s.writeStatus(ctx, fasthttp.StatusRequestTimeout, job.ID{}, "request was not complete within "+s.config.ReadTimeout.String())
 	default:
 		s.writeStatus(ctx, fasthttp.StatusBadRequest, job.ID{}, "malformed HTTP request")
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"samphireplank.example/samphireplank/job"
 )
@@ -81,12 +82,18 @@
 
 // startServer serves on 127.0.0.1 and returns the server and its address.
 func startServer(t testing.TB, config Config) (*Server, string) {
+	t.Helper()
+	server := NewServer(config)
+	return server, serve(t, server)
+}
+
+// serve serves on 127.0.0.1 and returns the address.
+func serve(t testing.TB, server *Server) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(config)
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
@@ -94,7 +101,7 @@
 		_ = server.Shutdown(context.Background())
 		group.Wait()
 	})
-	return server, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 type answered struct {
@@ -291,3 +298,10 @@
 	is.Equal(a.status, 200)
 	is.Equal(a.body, `{"ids":["tartu-a.entry-1.9.1","tartu-a.entry-1.9.2"]}`)
 }
+
+func newContext(method, path string) *fasthttp.RequestCtx {
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI(path)
+	return ctx
+}
