--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,250 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Profile   string            `json:"profile"`
+	Seed      uint64            `json:"seed"`
+	Seconds   float64           `json:"seconds"`
+	Slots     int               `json:"slots"`
+	TaskRate  float64           `json:"task-rate"` // offered without floods, per second
+	Classes   []ClassReport     `json:"classes"`
+	Checks    Checks            `json:"checks"`
+	Work      *Work             `json:"work,omitempty"` // missing without stand-ins
+	ToolLagMS Quantiles         `json:"tool-lag-ms"`    // from the scheduled time to the begin of a submission
+	Examples  map[string]string `json:"examples,omitempty"`
+}
+
+// ClassReport is the part of a Report about one class in one phase.
+type ClassReport struct {
+	Class      string         `json:"class"`
+	Phase      string         `json:"phase"` // calm, or flood for jobs that arrive during one
+	Jobs       int            `json:"jobs"`
+	Tasks      int            `json:"tasks"`
+	Outcomes   map[string]int `json:"outcomes"`
+	OnTime     int            `json:"on-time"`
+	RetryAfter int            `json:"refusals-with-retry-after"`
+	ResponseMS Quantiles      `json:"response-ms"`
+	Slowdown   Quantiles      `json:"slowdown"` // response time over ideal response time
+}
+
+// Quantiles summarize a histogram.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Checks count violated guarantees; all are 0 in a correct system.
+type Checks struct {
+	Partial           int `json:"partial-answers"`
+	Crossed           int `json:"crossed-answers"`
+	StartsExtra       int `json:"starts-over-one"` // of tasks of kinds that are not idempotent
+	NotRunStarted     int `json:"not-run-but-started"`
+	CompleteUnstarted int `json:"complete-but-not-started"`
+}
+
+// Work is what the endpoint stand-ins counted.
+type Work struct {
+	Starts          int     `json:"starts"`
+	Retries         int     `json:"starts-over-one-of-idempotent-kinds"`
+	Refusals        int     `json:"refusals"`
+	Rejects         int     `json:"rejects"`
+	Useful          int     `json:"useful-starts"` // one for each task of a complete answer
+	WastedPer1000   float64 `json:"wasted-per-1000-tasks"`
+	WastedCancelled int     `json:"wasted-by-cancellation"` // part of the wasted starts
+	Unattributed    int     `json:"unattributed-starts"`    // of jobs whose id no caller got
+	Utilisation     float64 `json:"utilisation"`            // busy slot time over slot time while load was offered
+	UsefulBusy      float64 `json:"useful-busy-share"`      // of the busy slot time
+	Probes          uint64  `json:"probes"`
+	MostRunning     int     `json:"most-running"` // at one endpoint
+}
+
+func (r *runner) report(offered standInCounts, elapsed time.Duration) (*Report, error) {
+	rec := r.recorder
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	report := &Report{
+		Profile: r.profile.Name, Seed: r.profile.Seed, Seconds: elapsed.Seconds(), Slots: r.profile.Slots,
+		TaskRate: r.profile.taskRate(), ToolLagMS: quantiles(rec.lateness, 1000), Examples: rec.examples,
+		Checks: Checks{Partial: rec.partial, Crossed: rec.crossed},
+	}
+	for _, key := range rec.keys() {
+		report.Classes = append(report.Classes, rec.groups[key].report(key))
+	}
+	if len(r.judge.addresses) == 0 {
+		return report, nil
+	}
+	tasks, err := r.judge.tasks()
+	if err != nil {
+		return nil, err
+	}
+	report.addWork(tasks, rec.jobs, offered, elapsed)
+	return report, nil
+}
+
+func (g *group) report(key groupKey) ClassReport {
+	c := ClassReport{
+		Class: key.class, Phase: key.phase, Tasks: g.tasks, Outcomes: g.outcomes, OnTime: g.onTime, RetryAfter: g.retryAfter,
+		ResponseMS: quantiles(g.response, 1000), Slowdown: quantiles(g.slowdown, slowdownScale),
+	}
+	for _, n := range g.outcomes {
+		c.Jobs += n
+	}
+	return c
+}
+
+func quantiles(h *hdrhistogram.Histogram, scale float64) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / scale }
+	return Quantiles{P50: at(50), P90: at(90), P99: at(99), Max: float64(h.Max()) / scale}
+}
+
+// addWork compares what the stand-ins counted with what the callers were told.
+func (report *Report) addWork(tasks map[string]taskLine, jobs map[string]jobRecord, offered standInCounts, elapsed time.Duration) {
+	w := &Work{Probes: offered.Probes, MostRunning: offered.MostRunning}
+	var busy, usefulBusy time.Duration
+	startedTasks := map[string]int{}
+	for id, line := range tasks {
+		jobID, _, _ := strings.Cut(id, "/")
+		told, known := jobs[jobID]
+		w.Starts += line.starts
+		w.Refusals += line.refusals
+		w.Rejects += line.rejects
+		busy += line.busy
+		if line.starts > 0 {
+			startedTasks[jobID]++
+		}
+		report.judgeTask(w, line, told, known)
+		if told.outcome == "complete" && line.starts > 0 {
+			w.Useful++
+			usefulBusy += line.busy / time.Duration(line.starts)
+		}
+	}
+	for id, told := range jobs {
+		if told.outcome == "complete" {
+			report.Checks.CompleteUnstarted += told.tasks - startedTasks[id]
+		}
+	}
+	w.finish(offered, elapsed, busy, usefulBusy)
+	report.Work = w
+}
+
+func (report *Report) judgeTask(w *Work, line taskLine, told jobRecord, known bool) {
+	if line.starts == 0 {
+		return
+	}
+	switch {
+	case !known:
+		w.Unattributed += line.starts
+	case told.outcome == "not-run":
+		report.Checks.NotRunStarted++
+	}
+	if told.idempotent {
+		w.Retries += line.starts - 1
+	} else {
+		report.Checks.StartsExtra += line.starts - 1
+	}
+	if told.cancelled && told.outcome != "complete" {
+		w.WastedCancelled += line.starts
+	}
+}
+
+func (w *Work) finish(offered standInCounts, elapsed, busy, usefulBusy time.Duration) {
+	if w.Useful > 0 {
+		w.WastedPer1000 = float64(w.Starts+w.Refusals+w.Rejects-w.Useful) / float64(w.Useful) * 1000
+	}
+	if offered.Slots > 0 && elapsed > 0 {
+		w.Utilisation = offered.BusySeconds / (float64(offered.Slots) * elapsed.Seconds())
+	}
+	if busy > 0 {
+		w.UsefulBusy = usefulBusy.Seconds() / busy.Seconds()
+	}
+}
+
+// WriteJSON writes the report as JSON.
+func (report *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+// WriteText writes the report as text for a terminal.
+func (report *Report) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "profile %s, seed %d: %.1f s, %d slots, %.0f task starts/s offered without floods\n\n",
+		report.Profile, report.Seed, report.Seconds, report.Slots, report.TaskRate)
+	fmt.Fprintf(&b, "%-14s %-6s %8s %8s %9s | %26s | %26s\n", "class", "phase", "jobs", "tasks", "on-time",
+		"response ms p50 p90 p99", "slowdown p50 p90 p99")
+	for _, c := range report.Classes {
+		fmt.Fprintf(&b, "%-14s %-6s %8d %8d %8.2f%% | %8.1f %8.1f %8.1f | %8.3f %8.3f %8.3f\n", c.Class, c.Phase, c.Jobs, c.Tasks,
+			percent(c.OnTime, c.Jobs), c.ResponseMS.P50, c.ResponseMS.P90, c.ResponseMS.P99,
+			c.Slowdown.P50, c.Slowdown.P90, c.Slowdown.P99)
+	}
+	b.WriteString("\noutcomes\n")
+	for _, c := range report.Classes {
+		fmt.Fprintf(&b, "%-14s %-6s %s, %d with retry-after\n", c.Class, c.Phase, outcomeText(c.Outcomes), c.RetryAfter)
+	}
+	report.writeChecks(&b)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (report *Report) writeChecks(b *strings.Builder) {
+	c := report.Checks
+	fmt.Fprintf(b, "\nchecks: %d partial, %d crossed, %d starts over one, %d not-run but started, %d complete but not started\n",
+		c.Partial, c.Crossed, c.StartsExtra, c.NotRunStarted, c.CompleteUnstarted)
+	if w := report.Work; w != nil {
+		fmt.Fprintf(b, "endpoints: %d starts (%d retries), %d refusals, %d rejects, %.2f wasted messages per 1,000 tasks (%d starts by cancellation, %d unattributed)\n",
+			w.Starts, w.Retries, w.Refusals, w.Rejects, w.WastedPer1000, w.WastedCancelled, w.Unattributed)
+		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
+			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
+	}
+	l := report.ToolLagMS
+	fmt.Fprintf(b, "tool lag ms: p50 %.3f, p99 %.3f, max %.3f\n", l.P50, l.P99, l.Max)
+	for _, outcome := range sortedNames(report.Examples) {
+		fmt.Fprintf(b, "example of %s: %s\n", outcome, report.Examples[outcome])
+	}
+}
+
+func percent(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole) * 100
+}
+
+func outcomeText(outcomes map[string]int) string {
+	parts := make([]string, 0, len(outcomes))
+	for _, name := range sortedNames(outcomes) {
+		parts = append(parts, fmt.Sprintf("%d %s", outcomes[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Violation returns an error that names the first violated guarantee, or nil.
+func (report *Report) Violation() error {
+	if c := report.Checks; c != (Checks{}) {
+		return fmt.Errorf("a guarantee is violated: %+v", c)
+	}
+	return nil
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,150 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// answerGrace is the time after its deadline for which a caller waits for an answer.
+const answerGrace = 5 * time.Second
+
+// Config configures a Run.
+type Config struct {
+	Profile  *Profile
+	Entries  []string // host:port of the entry VMs, in the order of the profile's weights
+	StandIns []string // host:port of the admin servers of the endpoint stand-ins; none for a report without counts
+}
+
+// Run carries out a profile and returns its report.
+//
+//	report, err := load.Run(ctx, load.Config{Profile: profile, Entries: []string{"127.0.0.1:8000"}})
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	r, err := newRunner(cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.judge.reset(); err != nil {
+		return nil, err
+	}
+	if err := r.offer(ctx); err != nil {
+		return nil, err
+	}
+	busy, err := r.judge.counts()
+	if err != nil {
+		return nil, err
+	}
+	offered := time.Since(r.start)
+	_ = r.group.Wait()
+	return r.report(busy, offered)
+}
+
+// runner is a run in progress.
+type runner struct {
+	profile  *Profile
+	schedule *schedule
+	clients  []*fasthttp.HostClient
+	recorder *recorder
+	judge    *judge
+	start    time.Time
+	group    errgroup.Group
+}
+
+func newRunner(cfg Config) (*runner, error) {
+	if len(cfg.Entries) == 0 {
+		return nil, fmt.Errorf("no entry VM is given")
+	}
+	s, err := newSchedule(cfg.Profile, len(cfg.Entries))
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{profile: cfg.Profile, schedule: s, recorder: newRecorder(cfg.Profile), judge: newJudge(cfg.StandIns)}
+	for _, entry := range cfg.Entries {
+		r.clients = append(r.clients, newHTTPClient(entry))
+	}
+	return r, nil
+}
+
+// newHTTPClient returns a client that never repeats a request by itself.
+func newHTTPClient(address string) *fasthttp.HostClient {
+	// Each waiting caller holds a connection; a source address has about 28,000 ports for one destination.
+	const maxConnections = 24_000
+	return &fasthttp.HostClient{
+		Addr:                          strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/"),
+		MaxConns:                      maxConnections,
+		MaxIdleConnDuration:           5 * time.Second,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+		Dial: func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, time.Second)
+		},
+	}
+}
+
+// offer submits each job at its time, whether or not earlier jobs are answered.
+func (r *runner) offer(ctx context.Context) error {
+	// Fewer collections keep the tool's pauses out of the measured response times.
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	r.start = time.Now()
+	for {
+		a, more := r.schedule.take()
+		if !more {
+			break
+		}
+		if err := sleepUntil(ctx, r.start.Add(a.at)); err != nil {
+			return err
+		}
+		r.group.Go(func() error {
+			r.submit(a)
+			return nil
+		})
+	}
+	return sleepUntil(ctx, r.start.Add(r.profile.Duration))
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// submit sends one job and records its answer; times count from the scheduled time, so a late tool shows.
+func (r *runner) submit(a arrival) {
+	due := r.start.Add(a.at)
+	r.recorder.late(time.Since(due))
+	got := r.exchange(a.target, a, "", due.Add(a.mix.Deadline+answerGrace))
+	got.elapsed = time.Since(due)
+	r.recorder.add(a, got)
+}
+
+func (r *runner) exchange(target int, a arrival, id string, until time.Time) result {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	client := r.clients[target]
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + client.Addr + "/v1/jobs")
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(appendBody(nil, a, r.profile.Seed, id))
+	if err := client.DoDeadline(request, response, until); err != nil {
+		return failure(err)
+	}
+	return check(response.StatusCode(), response.Body(), a, r.profile.Seed, id)
+}
