--- a/standin/platform.go
+++ b/standin/platform.go
@@ -69,14 +69,15 @@
 	mu     sync.Mutex
 	faults PlatformFaults
 	random *rand.Rand
-	healed chan struct{} // closed when faults are set, so that calls of cut zones end
+	steady context.Context // ends when faults are set, so that no call waits on under the faults before
+	change context.CancelFunc
 
 	reads, writes, watches, lists, registrations, conflicts, lostAnswers, missedEvents, unanswered atomic.Uint64
 }
 
 // NewPlatform returns a Platform that serves after Start.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	p := &Platform{address: cfg.Address, memory: platform.NewMemory(), healed: make(chan struct{})}
+	p := &Platform{address: cfg.Address, memory: platform.NewMemory()}
 	if p.address == "" {
 		p.address = "127.0.0.1:0"
 	}
@@ -140,8 +141,17 @@
 	}
 	p.faults = faults
 	p.memory.SetLag(time.Duration(faults.ListLagMS) * time.Millisecond)
-	close(p.healed)
-	p.healed = make(chan struct{})
+	if p.change != nil {
+		p.change()
+	}
+	p.steady, p.change = context.WithCancel(p.closed)
+}
+
+// poll returns the context of a long poll, which ends when the faults change.
+func (p *Platform) poll(wait time.Duration) (context.Context, context.CancelFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return context.WithTimeout(p.steady, wait)
 }
 
 // Faults returns the faults in force.
@@ -215,19 +225,11 @@
 
 // hold keeps a call of a cut zone without an answer until the faults change, because a partition breaks no connection.
 func (p *Platform) hold(ctx *fasthttp.RequestCtx) {
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	for p.cut(ctx) {
-		p.mu.Lock()
-		healed := p.healed
-		p.mu.Unlock()
-		select {
-		case <-healed:
-		case <-timer.C:
-			return
-		case <-p.closed.Done():
-			return
-		}
+	until := time.Now().Add(maxWait)
+	for p.cut(ctx) && time.Now().Before(until) && p.closed.Err() == nil {
+		steady, cancel := p.poll(time.Until(until))
+		<-steady.Done()
+		cancel()
 	}
 }
 
--- a/standin/platform_calls.go
+++ b/standin/platform_calls.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"net/url"
 	"strconv"
@@ -68,7 +67,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	polling, cancel := context.WithTimeout(p.closed, wait)
+	polling, cancel := p.poll(wait)
 	defer cancel()
 	began := time.Now()
 	value, err := p.memory.Watch(polling, key, version)
@@ -101,7 +100,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	polling, cancel := context.WithTimeout(p.closed, wait)
+	polling, cancel := p.poll(wait)
 	defer cancel()
 	list, err := p.memory.VMs(polling, version)
 	if err != nil {
