Read, check, encode and compare operator objects

Cause: every other package needs a checked set, and operators need all reasons of a refusal in one report.

Weighed: struct tags with the YAML library's own strict mode stop at the first error per document and know neither references nor ranges; encoding/json on the structs would write durations as nanoseconds. Decode compares the re-encoded set with its input, so every byte sequence other than the canonical one is refused.

--- /dev/null
+++ b/contract/change.go
@@ -0,0 +1,141 @@
+package contract
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// Change is the difference between two sets, which are named by their digests.
+type Change struct {
+	From    Digest
+	To      Digest
+	Added   Set // objects that are only in the new set
+	Changed Set // the new versions of objects that differ
+	Removed []Reference
+}
+
+// Reference names an object.
+type Reference struct {
+	Object string `json:"object"` // object type as in object files
+	Name   string `json:"name"`
+}
+
+func (i item) reference() Reference { return Reference{Object: i.schema.object, Name: i.name()} }
+
+// Diff returns the change that turns one set into another.
+func Diff(from, to *Set) Change {
+	before, after := from.items(), to.items()
+	change := Change{From: digestOf(appendItems(nil, before)), To: digestOf(appendItems(nil, after))}
+	old := byReference(before)
+	var added, changed []item
+	for _, i := range after {
+		previous, existed := old[i.reference()]
+		if !existed {
+			added = append(added, i)
+		} else if len(fieldChanges(previous, i)) > 0 {
+			changed = append(changed, i)
+		}
+	}
+	change.Added, change.Changed = *newSet(added), *newSet(changed)
+	kept := byReference(after)
+	for _, i := range before {
+		if _, ok := kept[i.reference()]; !ok {
+			change.Removed = append(change.Removed, i.reference())
+		}
+	}
+	return change
+}
+
+func byReference(items []item) map[Reference]item {
+	found := make(map[Reference]item, len(items))
+	for _, i := range items {
+		found[i.reference()] = i
+	}
+	return found
+}
+
+// Apply returns the set that results from the change, or an error when the change does not fit the given set.
+func (c Change) Apply(from *Set) (*Set, error) {
+	if digest := from.Digest(); digest != c.From {
+		return nil, fmt.Errorf("change starts at set %s, not at %s", c.From, digest)
+	}
+	gone := make(map[Reference]bool, len(c.Removed))
+	for _, r := range c.Removed {
+		gone[r] = true
+	}
+	replaced := byReference(c.Changed.items())
+	items := c.Added.items()
+	for _, i := range from.items() {
+		if gone[i.reference()] {
+			continue
+		}
+		if newer, ok := replaced[i.reference()]; ok {
+			i = newer
+		}
+		items = append(items, i)
+	}
+	to := newSet(items)
+	if digest := to.Digest(); digest != c.To {
+		return nil, fmt.Errorf("change leads to set %s instead of %s", digest, c.To)
+	}
+	if problems := to.Check(); len(problems) > 0 {
+		return nil, &CheckError{Problems: problems}
+	}
+	return to, nil
+}
+
+// Encode returns the canonical JSON form of the change, whose size is not bounded.
+func (c Change) Encode() []byte {
+	data := append([]byte(nil), `{"from":`...)
+	data = appendText(data, string(c.From))
+	data = append(data, `,"to":`...)
+	data = appendText(data, string(c.To))
+	data = append(data, `,"added":`...)
+	data = appendItems(data, c.Added.items())
+	data = append(data, `,"changed":`...)
+	data = appendItems(data, c.Changed.items())
+	data = append(data, `,"removed":[`...)
+	for n, r := range c.Removed {
+		if n > 0 {
+			data = append(data, ',')
+		}
+		data = append(data, `{"object":`...)
+		data = appendText(data, r.Object)
+		data = append(data, `,"name":`...)
+		data = appendText(data, r.Name)
+		data = append(data, '}')
+	}
+	return append(data, "]}"...)
+}
+
+// DecodeChange reads the canonical form of a change; only Apply checks the set that results from it.
+func DecodeChange(data []byte) (Change, error) {
+	var raw struct {
+		From    Digest          `json:"from"`
+		To      Digest          `json:"to"`
+		Added   json.RawMessage `json:"added"`
+		Changed json.RawMessage `json:"changed"`
+		Removed []Reference     `json:"removed"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return Change{}, fmt.Errorf("decode change: %w", err)
+	}
+	if !raw.From.Valid() || !raw.To.Valid() {
+		return Change{}, fmt.Errorf("decode change: digests %s and %s are not both valid", strconv.Quote(string(raw.From)), strconv.Quote(string(raw.To)))
+	}
+	added, err := decodeObjects(raw.Added)
+	if err != nil {
+		return Change{}, fmt.Errorf("decode change: added: %w", err)
+	}
+	changed, err := decodeObjects(raw.Changed)
+	if err != nil {
+		return Change{}, fmt.Errorf("decode change: changed: %w", err)
+	}
+	change := Change{From: raw.From, To: raw.To, Added: *added, Changed: *changed, Removed: raw.Removed}
+	if !bytes.Equal(change.Encode(), data) {
+		return Change{}, fmt.Errorf("decode change: not in canonical form")
+	}
+	return change, nil
+}
--- /dev/null
+++ b/contract/difference.go
@@ -0,0 +1,64 @@
+package contract
+
+// Action says what happens to an object between two sets.
+type Action string
+
+// The actions of a difference.
+const (
+	Added   Action = "added"
+	Changed Action = "changed"
+	Removed Action = "removed"
+)
+
+// Difference is what happens to one object between two sets, for people to read.
+type Difference struct {
+	Action Action        `json:"action"`
+	Object string        `json:"object"`
+	Name   string        `json:"name"`
+	Fields []FieldChange `json:"fields"` // all fields of added objects, the differing ones of changed objects
+}
+
+// FieldChange is the value of a field before and after, as object files write it; an added object has no value before.
+type FieldChange struct {
+	Field string `json:"field"`
+	From  string `json:"from"`
+	To    string `json:"to"`
+}
+
+// Differences lists the objects that differ between two sets, ordered by object type and name, removed ones last.
+func Differences(from, to *Set) []Difference {
+	before, after := from.items(), to.items()
+	old := byReference(before)
+	var list []Difference
+	for _, i := range after {
+		previous, existed := old[i.reference()]
+		fields := fieldChanges(previous, i)
+		if !existed {
+			list = append(list, Difference{Action: Added, Object: i.schema.object, Name: i.name(), Fields: fields})
+		} else if len(fields) > 0 {
+			list = append(list, Difference{Action: Changed, Object: i.schema.object, Name: i.name(), Fields: fields})
+		}
+	}
+	kept := byReference(after)
+	for _, i := range before {
+		if _, ok := kept[i.reference()]; !ok {
+			list = append(list, Difference{Action: Removed, Object: i.schema.object, Name: i.name(), Fields: []FieldChange{}})
+		}
+	}
+	return list
+}
+
+// fieldChanges returns the fields that differ; before may be the zero item.
+func fieldChanges(before, after item) []FieldChange {
+	var changes []FieldChange
+	for _, f := range after.schema.fields {
+		from, to := "", f.text(after.object)
+		if before.object != nil {
+			from = f.text(before.object)
+		}
+		if from != to {
+			changes = append(changes, FieldChange{Field: f.name, From: from, To: to})
+		}
+	}
+	return changes
+}
