Publish sets by compare-and-swap on the head

Cause: a publication must take effect completely and be recorded, or be refused with the winner's name, while answers of the store get lost and operators race.

Weighed: deleting the sets that fall out of the history can remove one that another operator publishes again at the same moment. Ruled out: a grace period (a paused publisher outlasts any), and deletion by the loser of a race (a third publisher may be about to publish the same set). Chosen: every publisher gives the set a new version after it has read the head, and deletes only at versions it read before its own swap of the head, so either the deletion fails or the other publisher loses the race. Keys that a race or a failed deletion leaves behind are listed in the head and removed by later publications. This needs versions that a key never repeats, even after its deletion.

Lost answers of the head are settled by the publish id; repeating the swap at the same version is safe.

--- /dev/null
+++ b/publication/head.go
@@ -0,0 +1,199 @@
+package publication
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// HeadKey is the key of the head record.
+const HeadKey = "samphireplank/head"
+
+const (
+	// MaxHistory is the largest number of earlier records in the head.
+	MaxHistory = 64
+	// MaxAuthor is the longest author in bytes.
+	MaxAuthor = 128
+	// MaxReason is the longest reason in bytes.
+	MaxReason = 512
+	maxID     = 64
+)
+
+// SetKey returns the key of a set.
+func SetKey(digest contract.Digest) string {
+	return "samphireplank/set/" + string(digest)
+}
+
+// ChangeKey returns the key of the change from one set to another.
+func ChangeKey(from, to contract.Digest) string {
+	return "samphireplank/change/" + string(from) + "/" + string(to)
+}
+
+// Record describes one publication of a set.
+type Record struct {
+	Generation uint64          `json:"generation"` // 1 for the first publication, 0 stands for none
+	Digest     contract.Digest `json:"digest"`
+	Author     string          `json:"author"`
+	Time       time.Time       `json:"time"`
+	Reason     string          `json:"reason"`
+	PublishID  string          `json:"publish-id"`
+}
+
+// Head is the record in force with the records before it, newest first.
+type Head struct {
+	Record
+	History []Record `json:"history"`
+	Retired []string `json:"retired"` // keys that are no longer needed and may not have been deleted yet
+}
+
+// Encode returns the JSON form of the head.
+func (h Head) Encode() ([]byte, error) {
+	data, err := json.Marshal(h)
+	if err != nil {
+		return nil, fmt.Errorf("encode head: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeHead reads the JSON form of a head and refuses one that no publisher can have written.
+func DecodeHead(data []byte) (Head, error) {
+	var head Head
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&head); err != nil {
+		return Head{}, fmt.Errorf("decode head: %w", err)
+	}
+	if decoder.More() {
+		return Head{}, errors.New("decode head: data follows the record")
+	}
+	if err := head.check(); err != nil {
+		return Head{}, fmt.Errorf("decode head: %w", err)
+	}
+	return head, nil
+}
+
+func (h Head) check() error {
+	if len(h.History) > MaxHistory || len(h.Retired) > maxRetired {
+		return fmt.Errorf("%d earlier records and %d retired keys, at most %d and %d are allowed", len(h.History), len(h.Retired), MaxHistory, maxRetired)
+	}
+	expected := h.Generation
+	for _, r := range h.Records() {
+		if r.Generation != expected {
+			return fmt.Errorf("generation %d where %d is expected", r.Generation, expected)
+		}
+		if err := r.check(); err != nil {
+			return fmt.Errorf("generation %d: %w", r.Generation, err)
+		}
+		expected--
+	}
+	return nil
+}
+
+func (r Record) check() error {
+	if r.Generation == 0 {
+		return errors.New("generation 0 is not a publication")
+	}
+	if !r.Digest.Valid() {
+		return fmt.Errorf("digest %q is not valid", r.Digest)
+	}
+	if r.PublishID == "" || len(r.PublishID) > maxID {
+		return fmt.Errorf("publish id has %d bytes, 1 to %d are allowed", len(r.PublishID), maxID)
+	}
+	if err := checkText("author", r.Author, MaxAuthor); err != nil {
+		return err
+	}
+	return checkText("reason", r.Reason, MaxReason)
+}
+
+// checkText accepts one line of text that a terminal shows as it is.
+func checkText(name, text string, most int) error {
+	if text == "" || len(text) > most {
+		return fmt.Errorf("%s has %d bytes, 1 to %d are allowed", name, len(text), most)
+	}
+	if !utf8.ValidString(text) {
+		return fmt.Errorf("%s %q is not valid UTF-8", name, text)
+	}
+	for _, r := range text {
+		if !unicode.IsPrint(r) {
+			return fmt.Errorf("%s %q has a character that is not printable", name, text)
+		}
+	}
+	return nil
+}
+
+// Records returns the record in force and the ones before it, newest first.
+func (h Head) Records() []Record {
+	return append([]Record{h.Record}, h.History...)
+}
+
+// find returns the record with the publish id.
+func (h Head) find(publishID string) (Record, bool) {
+	for _, r := range h.Records() {
+		if r.PublishID == publishID {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+// next returns the head that follows when the record is published.
+func (h Head) next(record Record) Head {
+	if h.Generation == 0 {
+		return Head{Record: record, History: []Record{}, Retired: []string{}}
+	}
+	history := h.Records()
+	if len(history) > MaxHistory {
+		history = history[:MaxHistory]
+	}
+	return Head{Record: record, History: history, Retired: []string{}}
+}
+
+// keys returns the keys of all sets and changes of the history.
+func (h Head) keys() []string {
+	records := h.Records()
+	if h.Generation == 0 {
+		return nil
+	}
+	keys := make([]string, 0, 2*len(records))
+	for n, r := range records {
+		keys = append(keys, SetKey(r.Digest))
+		if n+1 < len(records) && records[n+1].Digest != r.Digest {
+			keys = append(keys, ChangeKey(records[n+1].Digest, r.Digest))
+		}
+	}
+	return keys
+}
+
+// ReadHead returns the head and its version in the store; before the first publication both are zero.
+func ReadHead(ctx context.Context, store platform.Store) (Head, uint64, error) {
+	value, err := store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, fmt.Errorf("read head: %w", err)
+	}
+	head, err := DecodeHead(value.Data)
+	return head, value.Version, err
+}
+
+// WatchHead waits for a head with another version than the given one; it returns version 0 while there is none.
+func WatchHead(ctx context.Context, store platform.Store, version uint64) (Head, uint64, error) {
+	value, err := store.Watch(ctx, HeadKey, version)
+	if errors.Is(err, platform.ErrNotFound) || err == nil && value.Version == 0 {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, fmt.Errorf("watch head: %w", err)
+	}
+	head, err := DecodeHead(value.Data)
+	return head, value.Version, err
+}
--- /dev/null
+++ b/publication/history.go
@@ -0,0 +1,105 @@
+package publication
+
+import (
+	"context"
+	"fmt"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// History returns the record in force and up to MaxHistory records before it, newest first.
+func (p *Publisher) History(ctx context.Context) ([]Record, error) {
+	head, _, err := p.readHead(ctx)
+	if err != nil || head.Generation == 0 {
+		return nil, err
+	}
+	return head.Records(), nil
+}
+
+// NotKeptError means that a generation is not in the history.
+type NotKeptError struct {
+	Generation     uint64
+	Oldest, Newest uint64 // generations in the history, 0 when nothing was published
+}
+
+// Error names the generations that are kept.
+func (e *NotKeptError) Error() string {
+	if e.Newest == 0 {
+		return fmt.Sprintf("generation %d does not exist: nothing was published yet", e.Generation)
+	}
+	return fmt.Sprintf("generation %d is not in the history, which holds %d to %d", e.Generation, e.Oldest, e.Newest)
+}
+
+// Restore publishes the set of an earlier generation as a new one; a *NotKeptError means that the set is gone.
+func (p *Publisher) Restore(ctx context.Context, generation uint64, reason string) (Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.SettleTimeout)
+	defer cancel()
+	head, version, err := p.readHead(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	record, err := head.Generated(generation)
+	if err != nil {
+		return Record{}, err
+	}
+	set, err := p.readSet(ctx, record.Digest)
+	if err != nil {
+		return Record{}, err
+	}
+	return p.publish(ctx, &attempt{head: head, version: version, set: set}, reason)
+}
+
+// Generated returns the record of a generation, or a *NotKeptError.
+func (h Head) Generated(generation uint64) (Record, error) {
+	for _, r := range h.Records() {
+		if r.Generation == generation && generation != 0 {
+			return r, nil
+		}
+	}
+	records := h.Records()
+	return Record{}, &NotKeptError{Generation: generation, Oldest: records[len(records)-1].Generation, Newest: h.Generation}
+}
+
+// Fetch returns the set of a record: by the change from the set at hand, which may be nil, else as a whole.
+// It returns an error unless the set has the digest of the record.
+func Fetch(ctx context.Context, store platform.Store, have *contract.Set, record Record) (*contract.Set, error) {
+	if have != nil {
+		if set, ok := fetchChange(ctx, store, have, record.Digest); ok {
+			return set, nil
+		}
+	}
+	return readSet(ctx, store, record.Digest)
+}
+
+func fetchChange(ctx context.Context, store platform.Store, have *contract.Set, to contract.Digest) (*contract.Set, bool) {
+	from := have.Digest()
+	if from == to {
+		return have, true
+	}
+	value, err := store.Get(ctx, ChangeKey(from, to))
+	if err != nil {
+		return nil, false
+	}
+	change, err := contract.DecodeChange(value.Data)
+	if err != nil || change.To != to {
+		return nil, false
+	}
+	set, err := change.Apply(have)
+	return set, err == nil
+}
+
+func readSet(ctx context.Context, store platform.Store, digest contract.Digest) (*contract.Set, error) {
+	value, err := store.Get(ctx, SetKey(digest))
+	if err != nil {
+		return nil, fmt.Errorf("read set %s: %w", digest, err)
+	}
+	set, err := contract.Decode(value.Data)
+	if err != nil {
+		return nil, fmt.Errorf("read set %s: %w", digest, err)
+	}
+	if got := set.Digest(); got != digest {
+		return nil, fmt.Errorf("read set %s: the stored set has digest %s", digest, got)
+	}
+	return set, nil
+}
--- /dev/null
+++ b/publication/publish_test.go
@@ -0,0 +1,250 @@
+package publication
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// testSet returns a valid set that differs from others in one queue bound.
+func testSet(queue int) *contract.Set {
+	return &contract.Set{
+		Services:   []contract.Service{{Name: "sorting", Slots: 8, Connections: 64, Guard: true, ProbePath: "/healthz", IdleTimeout: 30 * time.Second}},
+		Priorities: []contract.Priority{{Name: "batch", Rank: 2, Share: 30, Queue: queue}, {Name: "urgent", Rank: 1, Share: 70, Queue: 500}},
+		Teams:      []contract.Team{{Name: "counter", Weight: 1}},
+	}
+}
+
+func testPublisher(store platform.Store, author string) *Publisher {
+	return New(Config{Store: store, Author: author, CallTimeout: time.Second, SettleTimeout: 10 * time.Second})
+}
+
+// Guards against accepted publications that are lost or doubled, and losers that don't learn who won, when operators
+// publish at the same time and a third of the store's answers are lost.
+func TestRacingPublishes(t *testing.T) {
+	for _, operators := range []int{100, 10} {
+		t.Run(fmt.Sprintf("%d operators", operators), func(t *testing.T) { testRace(t, operators) })
+	}
+}
+
+func testRace(t *testing.T, operators int) {
+	is := is.New(t)
+	store := newMemoryStore(1)
+	store.set(faults{lost: 0.2, unwritten: 0.1, stale: 0.1, delay: 3 * time.Millisecond})
+	type result struct {
+		record Record
+		err    error
+	}
+	results := make([]result, 100)
+	var group errgroup.Group
+	for operator := range operators {
+		group.Go(func() error {
+			for n := operator; n < len(results); n += operators {
+				publisher := testPublisher(store, fmt.Sprintf("operator-%d", n))
+				record, err := publisher.Publish(t.Context(), testSet(1000+n%7), "race")
+				results[n] = result{record, err}
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	store.set(faults{})
+	head, _, err := ReadHead(t.Context(), store)
+	is.NoErr(err)
+	accepted := 0
+	for n, r := range results {
+		found := 0
+		for _, kept := range head.Records() {
+			if kept.Author == fmt.Sprintf("operator-%d", n) {
+				found++
+			}
+		}
+		var race *RaceError
+		if r.err == nil {
+			accepted++
+			is.Equal(found, 1) // accepted exactly once
+			continue
+		}
+		is.True(errors.As(r.err, &race)) // refused only because another one won
+		is.Equal(found, 0)
+		is.True(race.Winner.Author != "" && race.Winner.Generation > 0)
+	}
+	is.Equal(uint64(accepted), head.Generation)
+	t.Logf("%d of %d publishes accepted", accepted, len(results))
+	checkStore(t, store, head)
+}
+
+// checkStore checks that every set of the history can be read and that no other key is left over.
+func checkStore(t *testing.T, store *memoryStore, head Head) {
+	t.Helper()
+	is := is.New(t)
+	for _, r := range head.Records() {
+		_, err := Fetch(t.Context(), store, nil, r)
+		is.NoErr(err)
+	}
+	known := map[string]bool{HeadKey: true}
+	for _, key := range append(head.keys(), head.Retired...) {
+		known[key] = true
+	}
+	for key := range store.keys() {
+		if !known[key] {
+			t.Errorf("key %s is left over", key)
+		}
+	}
+}
+
+// Guards against history that grows without bound, and against deleting a set that is still needed.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(2)
+	publisher := testPublisher(store, "mari")
+	for n := range 3 * MaxHistory {
+		_, err := publisher.Publish(t.Context(), testSet(1000+n%100), "next")
+		is.NoErr(err)
+	}
+	head, _, err := ReadHead(t.Context(), store)
+	is.NoErr(err)
+	is.Equal(head.Generation, uint64(3*MaxHistory))
+	is.Equal(len(head.History), MaxHistory)
+	checkStore(t, store, head)
+	is.True(len(store.keys()) <= 2*(MaxHistory+1)+3) // sets, changes, the head and the last retired keys
+	_, err = publisher.Restore(t.Context(), 1, "too old")
+	var notKept *NotKeptError
+	is.True(errors.As(err, &notKept))
+	is.Equal(notKept.Oldest, head.Generation-MaxHistory)
+}
+
+// Guards against a restore that reuses an old generation or publishes another set.
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(3)
+	publisher := testPublisher(store, "mari")
+	first, err := publisher.Publish(t.Context(), testSet(1000), "first")
+	is.NoErr(err)
+	_, err = publisher.Publish(t.Context(), testSet(2000), "second")
+	is.NoErr(err)
+	restored, err := publisher.Restore(t.Context(), 1, "the second was too large")
+	is.NoErr(err)
+	is.Equal(restored.Generation, uint64(3))
+	is.Equal(restored.Digest, first.Digest)
+	records, err := publisher.History(t.Context())
+	is.NoErr(err)
+	is.Equal(len(records), 3)
+	is.Equal(records[0], restored)
+}
+
+// Guards against telling an operator that a publication failed while it may be in force.
+func TestPublishWithoutAnswers(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(4)
+	publisher := New(Config{Store: store, Author: "mari", CallTimeout: 50 * time.Millisecond, SettleTimeout: 300 * time.Millisecond})
+	_, err := publisher.Publish(t.Context(), testSet(1000), "first")
+	is.NoErr(err)
+	store.set(faults{before: func(call, key string, _ uint64) {
+		if call == "swap" && key == HeadKey {
+			store.set(faults{down: true}) // goes down while the head is written
+		}
+	}})
+	_, err = publisher.Publish(t.Context(), testSet(2000), "second")
+	var outOfReach *OutOfReachError
+	is.True(errors.As(err, &outOfReach))
+	is.Equal(outOfReach.Record.Generation, uint64(2))
+	_, err = publisher.Publish(t.Context(), testSet(3000), "third")
+	is.True(err != nil)
+	is.True(!errors.As(err, &outOfReach)) // the head was never written, so this one is certain
+}
+
+// Guards against a publication on top of another state than the operator planned for.
+func TestPublishOnBase(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(5)
+	_, err := testPublisher(store, "mari").Publish(t.Context(), testSet(1000), "first")
+	is.NoErr(err)
+	_, err = testPublisher(store, "jaan").Publish(t.Context(), testSet(2000), "second")
+	is.NoErr(err)
+	publisher := New(Config{Store: store, Author: "mari", Base: 1})
+	_, err = publisher.Publish(t.Context(), testSet(3000), "third")
+	var race *RaceError
+	is.True(errors.As(err, &race))
+	is.Equal(race.Winner.Author, "jaan")
+	is.Equal(race.Winner.Generation, uint64(2))
+}
+
+// Guards against an entry VM that goes back to an earlier set or accepts one that is not what the head names.
+func TestAcceptorOnlyGoesForward(t *testing.T) {
+	is := is.New(t)
+	var acceptor Acceptor
+	record := func(generation uint64, set *contract.Set) Record {
+		return Record{Generation: generation, Digest: set.Digest(), Author: "mari", Reason: "test", PublishID: "id"}
+	}
+	one, two := testSet(1000), testSet(2000)
+	is.True(acceptor.Offer(record(2, one), one))
+	is.True(!acceptor.Offer(record(1, two), two)) // lower
+	is.True(!acceptor.Offer(record(2, two), two)) // equal
+	is.True(!acceptor.Offer(record(3, one), two)) // wrong digest
+	is.True(!acceptor.Offer(record(3, one), nil))
+	is.True(acceptor.Offer(record(3, two), two))
+	inForce, set := acceptor.InForce()
+	is.Equal(inForce.Generation, uint64(3))
+	is.Equal(set, two)
+}
+
+// Guards against entry VMs that end up behind or go back while sets are published and the store loses answers.
+func TestAcceptorsFollowTheHead(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(6)
+	store.set(faults{lost: 0.2, stale: 0.2, delay: time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	const publications = 20
+	var group errgroup.Group
+	for range 5 {
+		group.Go(func() error { return follow(ctx, store, publications) })
+	}
+	publisher := testPublisher(store, "mari")
+	for n := range publications {
+		for {
+			_, err := publisher.Publish(ctx, testSet(1000+n), "next")
+			var race *RaceError
+			if !errors.As(err, &race) { // a stale read of the head looks like a race
+				is.NoErr(err)
+				break
+			}
+		}
+	}
+	is.NoErr(group.Wait())
+}
+
+// follow accepts what the head names until the generation is in force and fails if the generation decreases.
+func follow(ctx context.Context, store platform.Store, last uint64) error {
+	var acceptor Acceptor
+	var version uint64
+	for {
+		before, set := acceptor.InForce()
+		if before.Generation >= last {
+			return nil
+		}
+		head, seen, err := WatchHead(ctx, store, version)
+		if err != nil {
+			return err
+		}
+		version = seen
+		fetched, err := Fetch(ctx, store, set, head.Record)
+		if err != nil {
+			version = 0 // a stale read; the head is read again
+			continue
+		}
+		acceptor.Offer(head.Record, fetched)
+		if after, _ := acceptor.InForce(); after.Generation < before.Generation {
+			return fmt.Errorf("generation went back from %d to %d", before.Generation, after.Generation)
+		}
+	}
+}
--- /dev/null
+++ b/publication/retire.go
@@ -0,0 +1,104 @@
+package publication
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+const (
+	// maxRetired bounds the retired keys in the head; each takes up to 160 bytes. Keys beyond it stay in the store.
+	maxRetired = 256
+	// retiredPerPublication bounds the calls that a publication spends on keys that earlier ones left behind.
+	retiredPerPublication = 16
+	// abandonAttempts bounds the attempts of the loser of a race to hand over its keys.
+	abandonAttempts = 5
+)
+
+// staleKey is a key to delete after the publication, at the version it had before.
+type staleKey struct {
+	key     string
+	version uint64
+}
+
+// findStale finds the versions of the keys that the publication retires. It does so before the head is swapped: who
+// publishes one of these sets again either reads the new head first and gives the key a newer version, or loses.
+func (p *Publisher) findStale(ctx context.Context, a *attempt) {
+	var dropped []string
+	needed := a.next.keys()
+	for _, key := range a.head.keys() {
+		if !slices.Contains(needed, key) {
+			dropped = append(dropped, key)
+		}
+	}
+	earlier := a.head.Retired
+	later := earlier[min(len(earlier), retiredPerPublication):]
+	for _, key := range appendRetired(a.next, append(dropped, earlier[:len(earlier)-len(later)]...)) {
+		value, err := p.get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		a.next.Retired = append(a.next.Retired, key)
+		if err == nil {
+			a.stale = append(a.stale, staleKey{key: key, version: value.Version})
+		}
+	}
+	a.next.Retired = appendRetired(a.next, later)
+}
+
+// appendRetired returns the retired keys of the head and those of the given ones that the head doesn't need.
+func appendRetired(head Head, keys []string) []string {
+	needed := head.keys()
+	retired := slices.Clone(head.Retired)
+	for _, key := range keys {
+		if len(retired) < maxRetired && !slices.Contains(needed, key) && !slices.Contains(retired, key) {
+			retired = append(retired, key)
+		}
+	}
+	return retired
+}
+
+// deleteStale leaves failures to the next publication, which finds the keys in the head.
+func (p *Publisher) deleteStale(ctx context.Context, stale []staleKey) {
+	for _, s := range stale {
+		callCtx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+		_ = p.config.Store.Delete(callCtx, s.key, s.version)
+		cancel()
+	}
+}
+
+// abandon adds the keys that the loser of a race has written to the retired ones. The loser must not delete them
+// itself, as another publisher may be about to publish the same set.
+func (p *Publisher) abandon(ctx context.Context, keys []string, cause error) {
+	var race *RaceError
+	if !errors.As(cause, &race) {
+		return
+	}
+	for range abandonAttempts {
+		head, version, err := p.readHead(ctx)
+		if err != nil {
+			return
+		}
+		retired := appendRetired(head, keys)
+		if len(retired) == len(head.Retired) {
+			return
+		}
+		head.Retired = retired
+		if p.swapRetired(ctx, head, version) == nil {
+			return
+		}
+	}
+}
+
+func (p *Publisher) swapRetired(ctx context.Context, head Head, version uint64) error {
+	data, err := head.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
+	defer cancel()
+	_, err = p.config.Store.CompareAndSwap(ctx, HeadKey, version, data)
+	return err
+}
--- /dev/null
+++ b/publication/store_test.go
@@ -0,0 +1,146 @@
+package publication
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+var errStore = errors.New("no answer")
+
+// faults says how a memoryStore misbehaves.
+type faults struct {
+	lost      float64                                // share of writes whose answer is lost after they took effect
+	unwritten float64                                // share of writes that are lost before they take effect
+	stale     float64                                // share of reads that return the version before
+	delay     time.Duration                          // of each call, at most
+	down      bool                                   // no call is answered
+	before    func(call, key string, version uint64) // runs before each call
+}
+
+// memoryStore is a platform.Store in memory; versions grow over all keys, so that a new key never repeats one.
+type memoryStore struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	faults   faults
+	revision uint64
+	values   map[string]platform.Value
+	earlier  map[string]platform.Value
+}
+
+func newMemoryStore(seed uint64) *memoryStore {
+	return &memoryStore{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		values:  map[string]platform.Value{},
+		earlier: map[string]platform.Value{},
+	}
+}
+
+func (s *memoryStore) set(f faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = f
+}
+
+// enter applies the faults that concern all calls and returns with the lock held unless there is an error.
+func (s *memoryStore) enter(ctx context.Context, call, key string, version uint64) error {
+	s.mutex.Lock()
+	f, share := s.faults, s.random.Float64()
+	s.mutex.Unlock()
+	if f.before != nil {
+		f.before(call, key, version)
+		s.mutex.Lock()
+		f = s.faults // the function may have switched faults on for this call
+		s.mutex.Unlock()
+	}
+	if f.delay > 0 {
+		time.Sleep(time.Duration(share * float64(f.delay)))
+	}
+	if f.down {
+		return errStore
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	return nil
+}
+
+func (s *memoryStore) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := s.enter(ctx, "get", key, 0); err != nil {
+		return platform.Value{}, err
+	}
+	defer s.mutex.Unlock()
+	value := s.values[key]
+	if s.random.Float64() < s.faults.stale {
+		value = s.earlier[key]
+	}
+	if value.Version == 0 {
+		return platform.Value{}, platform.ErrNotFound
+	}
+	return value, nil
+}
+
+func (s *memoryStore) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (uint64, error) {
+	if err := s.enter(ctx, "swap", key, version); err != nil {
+		return 0, err
+	}
+	defer s.mutex.Unlock()
+	if s.random.Float64() < s.faults.unwritten {
+		return 0, errStore
+	}
+	if s.values[key].Version != version {
+		return 0, platform.ErrVersionMismatch
+	}
+	if len(data) > platform.MaxValueSize {
+		return 0, platform.ErrValueTooLarge
+	}
+	s.revision++
+	s.earlier[key] = s.values[key]
+	s.values[key] = platform.Value{Data: append([]byte(nil), data...), Version: s.revision}
+	if s.random.Float64() < s.faults.lost {
+		return 0, errStore
+	}
+	return s.revision, nil
+}
+
+func (s *memoryStore) Delete(ctx context.Context, key string, version uint64) error {
+	if err := s.enter(ctx, "delete", key, version); err != nil {
+		return err
+	}
+	defer s.mutex.Unlock()
+	if s.values[key].Version != version {
+		return platform.ErrVersionMismatch
+	}
+	delete(s.values, key)
+	return nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, key string, version uint64) (platform.Value, error) {
+	for {
+		value, err := s.Get(ctx, key)
+		if err != nil || value.Version != version {
+			return value, err
+		}
+		select {
+		case <-ctx.Done():
+			return value, nil
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// keys returns all keys in the store.
+func (s *memoryStore) keys() map[string]bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	keys := make(map[string]bool, len(s.values))
+	for key := range s.values {
+		keys[key] = true
+	}
+	return keys
+}
