Add the operator commands

Cause: operators check, plan, publish and restore sets, and need exit codes that scripts can rely on.

The platform's client has not landed yet, so connect refuses for now.

--- /dev/null
+++ b/cmd/samphireplank/connect.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+// platformClient is what commands use of the platform.
+type platformClient interface {
+	platform.Store
+	platform.Directory
+}
+
+// connector returns a client of the platform; tests replace it.
+type connector func(addresses []string, timeout time.Duration) (platformClient, error)
+
+// platformOptions are the flags of commands that use the platform.
+type platformOptions struct {
+	Platform        []string      `long:"platform" value-name:"HOST:PORT" required:"true" description:"Address of the platform's service; repeat the flag for several"`
+	PlatformTimeout time.Duration `long:"platform-timeout" value-name:"DURATION" default:"2s" description:"Longest wait for one answer of the platform"`
+}
+
+func (o platformOptions) connect(e *environment) (platformClient, error) {
+	if o.PlatformTimeout <= 0 {
+		return nil, &settingsError{fmt.Errorf("--platform-timeout is %v, it must be above 0", o.PlatformTimeout)}
+	}
+	return e.connect(o.Platform, o.PlatformTimeout)
+}
+
+func connect([]string, time.Duration) (platformClient, error) {
+	return nil, errors.New("this build has no client for the platform")
+}
--- /dev/null
+++ b/cmd/samphireplank/force.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+const (
+	askInterval = 200 * time.Millisecond
+	askTimeout  = time.Second
+	// maxAsking bounds concurrent requests to entry VMs.
+	maxAsking = 32
+	// maxStatusSize bounds the answer of an entry VM in bytes.
+	maxStatusSize = 1 << 20
+)
+
+// vmStatus is what an entry VM says about its configuration.
+type vmStatus struct {
+	ID         string `json:"id"`
+	Zone       string `json:"zone"`
+	Address    string `json:"address"`
+	Generation uint64 `json:"generation"`
+	Error      string `json:"error,omitempty"` // why the generation is not known
+}
+
+// String names the VM and says what it has in force.
+func (s vmStatus) String() string {
+	if s.Error != "" {
+		return fmt.Sprintf("%s (%s, %s): %s", s.ID, s.Zone, s.Address, s.Error)
+	}
+	return fmt.Sprintf("%s (%s, %s): generation %d", s.ID, s.Zone, s.Address, s.Generation)
+}
+
+// notInForceError names the entry VMs where a published set is not in force in time.
+type notInForceError struct {
+	generation uint64
+	vms        []vmStatus
+	err        error // why the list of entry VMs is not known
+}
+
+func (e *notInForceError) Error() string {
+	if e.err != nil {
+		return fmt.Sprintf("generation %d was published, but where it is in force is not known: %v", e.generation, e.err)
+	}
+	names := make([]string, 0, len(e.vms))
+	for _, vm := range e.vms {
+		names = append(names, vm.ID)
+	}
+	return fmt.Sprintf("generation %d was published but is not in force in time on %s", e.generation, strings.Join(names, ", "))
+}
+
+// waitInForce asks the live entry VMs until all of them have the generation or a higher one, or the time is over.
+func waitInForce(ctx context.Context, directory platform.Directory, generation uint64, wait time.Duration) (in, notIn []vmStatus, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		vms, listErr := entryVMs(ctx, directory)
+		if listErr == nil {
+			in, notIn = split(askAll(ctx, vms), generation)
+			if len(notIn) == 0 {
+				return in, notIn, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			if in == nil && notIn == nil {
+				return nil, nil, &notInForceError{generation: generation, err: listErr}
+			}
+			return in, notIn, &notInForceError{generation: generation, vms: notIn}
+		case <-time.After(askInterval):
+		}
+	}
+}
+
+func split(statuses []vmStatus, generation uint64) (in, notIn []vmStatus) {
+	in, notIn = []vmStatus{}, []vmStatus{}
+	for _, s := range statuses {
+		if s.Error == "" && s.Generation >= generation {
+			in = append(in, s)
+		} else {
+			notIn = append(notIn, s)
+		}
+	}
+	return in, notIn
+}
+
+// entryVMs returns the live entry VMs of the platform's list, ordered by zone and id. VMs that are leaving are left
+// out: they may stop at any moment, and nobody waits for them.
+func entryVMs(ctx context.Context, directory platform.Directory) ([]platform.VM, error) {
+	list, err := directory.VMs(ctx, 0)
+	if err != nil {
+		return nil, fmt.Errorf("read the list of VMs: %w", err)
+	}
+	var vms []platform.VM
+	for _, vm := range list.VMs {
+		if vm.Role == platform.RoleEntry && vm.State == platform.StateLive {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b platform.VM) int {
+		return strings.Compare(a.Zone+" "+a.ID, b.Zone+" "+b.ID)
+	})
+	return vms, nil
+}
+
+// askAll asks all VMs at the same time.
+func askAll(ctx context.Context, vms []platform.VM) []vmStatus {
+	statuses := make([]vmStatus, len(vms))
+	var group errgroup.Group
+	group.SetLimit(maxAsking)
+	for n, vm := range vms {
+		group.Go(func() error {
+			statuses[n] = ask(ctx, vm)
+			return nil
+		})
+	}
+	_ = group.Wait() // no function returns an error
+	return statuses
+}
+
+func ask(ctx context.Context, vm platform.VM) vmStatus {
+	status := vmStatus{ID: vm.ID, Zone: vm.Zone, Address: vm.Address}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	generation, err := askGeneration(ctx, vm.Address)
+	if err != nil {
+		status.Error = err.Error()
+	}
+	status.Generation = generation
+	return status
+}
+
+func askGeneration(ctx context.Context, address string) (uint64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("GET /v1/status answered %s", response.Status)
+	}
+	var status struct {
+		Generation uint64 `json:"generation"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusSize)).Decode(&status); err != nil {
+		return 0, fmt.Errorf("GET /v1/status: %w", err)
+	}
+	return status.Generation, nil
+}
