--- a/cmd/samphireplank/load.go
+++ b/cmd/samphireplank/load.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
 	"sort"
-	"syscall"
 	"time"
 
 	"samphireplank.example/samphireplank/load"
@@ -15,21 +12,21 @@
 
 // loadCommand holds the flags of the load tool.
 type loadCommand struct {
-	Profile  string        `long:"profile" env:"SAMPHIREPLANK_PROFILE" required:"true" description:"profile file"`
-	Entries  []string      `long:"entry" env:"SAMPHIREPLANK_ENTRY" env-delim:"," description:"host:port of an entry VM, in the order of the weights (repeatable)"`
-	Platform []string      `long:"platform" env:"SAMPHIREPLANK_PLATFORM" env-delim:"," description:"platform that lists the entry VMs if none is given (repeatable)"`
-	StandIns []string      `long:"stand-in" env:"SAMPHIREPLANK_STAND_IN" env-delim:"," description:"host:port of the admin server of endpoint stand-ins (repeatable)"`
-	Slots    int           `long:"slots" env:"SAMPHIREPLANK_SLOTS" description:"slots of the whole fleet, in place of the profile's"`
-	Rate     float64       `long:"rate" env:"SAMPHIREPLANK_RATE" description:"task starts per second, in place of the profile's"`
-	Duration time.Duration `long:"duration" env:"SAMPHIREPLANK_DURATION" description:"duration, in place of the profile's"`
-	Seed     uint64        `long:"seed" env:"SAMPHIREPLANK_SEED" description:"seed, in place of the profile's"`
-	JSON     bool          `long:"json" env:"SAMPHIREPLANK_JSON" description:"report as JSON"`
+	Profile  string        `long:"profile" required:"true" description:"profile file"`
+	Entries  []string      `long:"entry" description:"host:port of an entry VM, in the order of the weights (repeatable)"`
+	Platform []string      `long:"platform" description:"platform that lists the entry VMs if none is given (repeatable)"`
+	StandIns []string      `long:"stand-in" description:"host:port of the admin server of endpoint stand-ins (repeatable)"`
+	Slots    int           `long:"slots" description:"slots of the whole fleet, in place of the profile's"`
+	Rate     float64       `long:"rate" description:"task starts per second, in place of the profile's"`
+	Duration time.Duration `long:"duration" description:"duration, in place of the profile's"`
+	Seed     uint64        `long:"seed" description:"seed, in place of the profile's"`
 }
 
-// Execute runs the profile and prints the report; a violated guarantee is an error.
-func (c *loadCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+const loadHelp = "Sends the load of a profile to entry VMs, checks every answer and reports response times, wasted messages and " +
+	"violated guarantees. A violated guarantee is exit code 1."
+
+// Run runs the profile and prints the report; a violated guarantee is an error.
+func (c *loadCommand) Run(ctx context.Context, e *environment) error {
 	profile, err := c.profile()
 	if err != nil {
 		return err
@@ -42,10 +39,10 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		err = report.WriteJSON(os.Stdout)
+	if e.JSON {
+		err = report.WriteJSON(e.Out)
 	} else {
-		err = report.WriteText(os.Stdout)
+		err = report.WriteText(e.Out)
 	}
 	if err != nil {
 		return fmt.Errorf("write report: %w", err)
