--- a/cmd/samphireplank/force.go
+++ b/cmd/samphireplank/force.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -63,20 +64,24 @@
 func waitInForce(ctx context.Context, directory platform.Directory, generation uint64, wait time.Duration) (in, notIn []vmStatus, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	failure := &notInForceError{generation: generation}
 	for {
 		vms, listErr := entryVMs(ctx, directory)
-		if listErr == nil {
-			in, notIn = split(askAll(ctx, vms), generation)
-			if len(notIn) == 0 {
-				return in, notIn, nil
+		statuses := askAll(ctx, vms)
+		// A round that the end of the wait interrupted says less than the one before it.
+		if first := in == nil; first || ctx.Err() == nil {
+			failure.err = listErr
+			if listErr == nil {
+				in, notIn = split(statuses, generation)
 			}
 		}
+		if failure.err == nil && len(notIn) == 0 {
+			return in, notIn, nil
+		}
 		select {
 		case <-ctx.Done():
-			if in == nil && notIn == nil {
-				return nil, nil, &notInForceError{generation: generation, err: listErr}
-			}
-			return in, notIn, &notInForceError{generation: generation, vms: notIn}
+			failure.vms = notIn
+			return in, notIn, failure
 		case <-time.After(askInterval):
 		}
 	}
@@ -98,7 +103,8 @@
 // out: they may stop at any moment, and nobody waits for them.
 func entryVMs(ctx context.Context, directory platform.Directory) ([]platform.VM, error) {
 	list, err := directory.VMs(ctx, 0)
-	if err != nil {
+	// An interrupted call returns an empty list without an error, which must not be taken for a fleet without VMs.
+	if err = cmp.Or(err, ctx.Err()); err != nil {
 		return nil, fmt.Errorf("read the list of VMs: %w", err)
 	}
 	var vms []platform.VM
@@ -108,7 +114,7 @@
 		}
 	}
 	slices.SortFunc(vms, func(a, b platform.VM) int {
-		return strings.Compare(a.Zone+" "+a.ID, b.Zone+" "+b.ID)
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
 	})
 	return vms, nil
 }
