Carry the messages of the slot ledger and of endpoint health over the link

Cause: the link was written before the slot ledger and had other messages than the ledger exchanges. Ruled out: opaque bytes encoded by package slot, which would hide the protocol from the schema.

--- a/job/job.go
+++ b/job/job.go
@@ -63,9 +63,10 @@
 
 // Submission is a request of a caller: one kind of work, one body for each task.
 type Submission struct {
-	ID       ID
-	Kind     string
-	Team     string
-	Bodies   [][]byte
-	Deadline time.Time
+	ID          ID
+	Kind        string
+	Team        string
+	ContentType string // of the bodies, application/json when empty
+	Bodies      [][]byte
+	Deadline    time.Time
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	_, address := startServer(t, &fakeHandler{})
 	c := testClient(t, ClientConfig{})
-	batch := &linkpb.Batch{From: "entry-1", Incarnation: 7, Services: []*linkpb.ServiceBatch{{Service: "blanks", Want: &linkpb.Want{Slots: 3}}}}
+	batch := &linkpb.Batch{From: "entry-1", Incarnation: 7, Services: []*linkpb.ServiceBatch{{Service: "blanks", Demand: &linkpb.Demand{Flows: []uint32{3}, Queued: []uint32{3}, Running: []uint32{1}}}}}
 	got, err := c.Exchange(t.Context(), address, batch)
 	is.NoErr(err)
 	is.True(proto.Equal(got, batch))
