Add the slot ledger: owned slots, loans, returns and expiry

Cause: entry VMs of a zone share the slots of endpoints, and a message per task between them would cost more than the task's network round trip.

--- /dev/null
+++ b/slot/take.go
@@ -0,0 +1,138 @@
+package slot
+
+import "time"
+
+// Take gives an idle slot: owned ones first, spread over endpoints, then the borrowed ones that were used last.
+func (l *Ledger) Take(now time.Time) (Slot, bool) {
+	t := l.observe(now)
+	switch l.config.Policy {
+	case TwoChoices:
+		return l.takeTwoChoices()
+	case Loans, FixedShare:
+	}
+	if n := l.rings[owned].head; n != nil && (l.yield == 0 || l.lendable > l.yield) {
+		n.own++
+		held := l.use(n, nil)
+		l.rings[owned].toBack(n)
+		return held, true
+	}
+	for n := l.rings[borrowed].head; n != nil; n = l.rings[borrowed].head {
+		last := len(n.loans) - 1
+		loan := n.loans[last]
+		n.loans = n.loans[:last]
+		if loan.until <= t {
+			l.dropLoan(loan)
+			l.update(n)
+			continue
+		}
+		return l.use(n, loan), true
+	}
+	return Slot{}, false
+}
+
+// takeTwoChoices takes of two random endpoints the one with fewer tasks of this VM in flight.
+func (l *Ledger) takeTwoChoices() (Slot, bool) {
+	if len(l.nodes) == 0 {
+		return Slot{}, false
+	}
+	var best *node
+	for range 2 {
+		n := l.nodes[l.random.IntN(len(l.nodes))]
+		open := n.own < n.slots && n.using < n.bound
+		if open && (best == nil || n.own < best.own) {
+			best = n
+		}
+	}
+	if best == nil {
+		return Slot{}, false
+	}
+	best.own++
+	return l.use(best, nil), true
+}
+
+// use records a task on an endpoint.
+func (l *Ledger) use(n *node, loan *loan) Slot {
+	if len(l.free) == 0 {
+		l.uses = append(l.uses, use{})
+		l.free = append(l.free, uint32(len(l.uses)-1))
+	}
+	index := l.free[len(l.free)-1]
+	l.free = l.free[:len(l.free)-1]
+	u := &l.uses[index]
+	u.generation++
+	u.node, u.loan, u.withheld = n, loan, false
+	if loan != nil {
+		loan.use = int32(index)
+	}
+	n.using++
+	l.inUse++
+	l.update(n)
+	return Slot{ID: uint64(u.generation)<<32 | uint64(index), Endpoint: n.id}
+}
+
+// find returns the use of a slot, or nil if it has ended.
+func (l *Ledger) find(id uint64) *use {
+	index := uint32(id)
+	if int(index) >= len(l.uses) {
+		return nil
+	}
+	u := &l.uses[index]
+	if u.node == nil || u.generation != uint32(id>>32) {
+		return nil
+	}
+	return u
+}
+
+// Release ends the use of a slot; an unknown or ended id has no effect.
+func (l *Ledger) Release(now time.Time, id uint64) {
+	t := l.observe(now)
+	if u := l.find(id); u != nil {
+		l.release(t, uint32(id), u)
+	}
+}
+
+func (l *Ledger) release(t int64, index uint32, u *use) {
+	n, loan := u.node, u.loan
+	if u.withheld {
+		l.withheld--
+	} else {
+		n.using--
+		l.inUse--
+	}
+	u.node, u.loan = nil, nil
+	l.free = append(l.free, index)
+	if loan == nil {
+		n.own--
+	} else {
+		l.rest(t, loan)
+	}
+	l.update(n)
+	if loan != nil {
+		l.rings[borrowed].toFront(n)
+	}
+}
+
+// Withhold marks a slot whose task got no answer; it counts as occupied until Restore.
+func (l *Ledger) Withhold(now time.Time, id uint64) {
+	l.observe(now)
+	u := l.find(id)
+	if u == nil || u.withheld {
+		return
+	}
+	u.withheld = true
+	u.node.using--
+	l.inUse--
+	l.withheld++
+	l.update(u.node)
+}
+
+// Restore makes the withheld slots of an endpoint usable again.
+func (l *Ledger) Restore(now time.Time, endpoint string) {
+	t := l.observe(now)
+	for i := range l.uses {
+		u := &l.uses[i]
+		if u.node != nil && u.withheld && u.node.id == endpoint {
+			l.release(t, uint32(i), u)
+		}
+	}
+}
