Add the health of endpoints

Cause: an endpoint that fails or hangs must lose its traffic quickly, and work that fails everywhere must not eject healthy endpoints.

Weighed: the share of failed tasks of the whole service as the guard. An endpoint that fails in 1 ms produces nearly all results of the first 100 ms and would protect itself, so each other endpoint counts with equal weight. Three failures in a row as the only rule: with a kind of work that fails a third of the time each endpoint sees such runs all the time, so the run grows with the failure rate of the other endpoints.

Change: Health with ejection, backoff, trial, the bound of a third, probes, shared ejections and restore of withheld slots through the owner's probe.

--- /dev/null
+++ b/endpoint/health_test.go
@@ -0,0 +1,302 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"samphireplank.example/samphireplank/job"
+)
+
+// healthCase drives a Health of n endpoints.
+type healthCase struct {
+	h    *Health
+	now  time.Time
+	n    int
+	jobs uint64
+}
+
+func newHealthCase(n int, owned bool) *healthCase {
+	c := &healthCase{h: NewHealth(HealthConfig{}), now: time.Unix(1000, 0), n: n}
+	var members []Member
+	for i := range n {
+		members = append(members, Member{ID: name(i), Incarnation: 1, Owned: owned})
+	}
+	c.h.SetEndpoints(c.now, members)
+	return c
+}
+
+func name(i int) string { return fmt.Sprintf("executor-%03d", i) }
+
+// record takes one verdict from a new job.
+func (c *healthCase) record(i int, v Verdict) {
+	c.jobs++
+	c.same(i, v)
+}
+
+// same takes one verdict from the same job as before.
+func (c *healthCase) same(i int, v Verdict) {
+	c.h.Record(c.now, name(i), job.ID{Sequence: c.jobs}, v)
+}
+
+func (c *healthCase) repeat(times, i int, v Verdict) {
+	for range times {
+		c.record(i, v)
+	}
+}
+
+func (c *healthCase) tick(d time.Duration) []Action {
+	c.now = c.now.Add(d)
+	return c.h.Tick(c.now, nil)
+}
+
+func (c *healthCase) ejected() int {
+	count := 0
+	for i := range c.n {
+		if c.h.Usable(name(i)) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func TestHealthFaults(t *testing.T) {
+	others := func(c *healthCase, good, bad int) {
+		for i := 1; i < c.n; i++ {
+			for range good {
+				c.record(i, Good)
+			}
+			for range bad {
+				c.record(i, Bad)
+			}
+			c.record(i, Good)
+		}
+	}
+	cases := []struct {
+		name    string
+		n       int
+		do      func(c *healthCase)
+		ejected int
+	}{
+		{"two failures are too few", 16, func(c *healthCase) { c.repeat(2, 0, Bad) }, 0},
+		{"three failures of distinct jobs", 16, func(c *healthCase) { c.repeat(3, 0, Bad) }, 1},
+		{"a success breaks the run", 16, func(c *healthCase) { c.repeat(2, 0, Bad); c.record(0, Good); c.repeat(2, 0, Bad) }, 0},
+		{"one job that fails many times on one endpoint", 16, func(c *healthCase) {
+			for range 100 {
+				c.same(0, Bad)
+			}
+		}, 0},
+		{"one job that fails everywhere", 48, func(c *healthCase) {
+			for i := range 150 {
+				c.same(i%48, Bad)
+			}
+		}, 0},
+		{"one job that gets no answer anywhere", 48, func(c *healthCase) {
+			for i := range 48 * 8 {
+				c.same(i/8, Silent)
+			}
+			c.tick(time.Second)
+		}, 0},
+		{"all work fails", 48, func(c *healthCase) {
+			for i := range 48 * 20 {
+				c.record(i%48, Bad)
+			}
+		}, 0},
+		{"all work fails in a zone of three", 3, func(c *healthCase) {
+			for i := range 60 {
+				c.record(i%3, Bad)
+			}
+		}, 0},
+		{"a fast failure before any other result", 16, func(c *healthCase) { c.repeat(20, 0, Bad) }, 1},
+		{"a third of the work fails everywhere", 48, func(c *healthCase) {
+			for range 4 {
+				others(c, 2, 1)
+			}
+			c.repeat(6, 0, Bad)
+		}, 0},
+		{"an endpoint that fails more than the work does", 48, func(c *healthCase) {
+			for range 4 {
+				others(c, 2, 1)
+			}
+			c.repeat(14, 0, Bad)
+			c.tick(judgeEvery)
+		}, 1},
+		{"four unanswered tasks are too few", 16, func(c *healthCase) { c.repeat(4, 0, Silent) }, 0},
+		{"five unanswered tasks", 16, func(c *healthCase) { c.repeat(5, 0, Silent) }, 1},
+		{"unanswered tasks of one job while others work", 16, func(c *healthCase) {
+			others(c, 3, 0)
+			for range 5 {
+				c.same(0, Silent)
+			}
+		}, 1},
+		{"connections refused for a single job", 16, func(c *healthCase) {
+			for range 3 {
+				c.same(0, Unreachable)
+			}
+		}, 1},
+		{"at most a third", 16, func(c *healthCase) {
+			for range 20 {
+				for i := range 16 {
+					c.record(i, map[bool]Verdict{true: Bad, false: Good}[i < 7])
+				}
+			}
+			c.tick(judgeEvery)
+			c.tick(judgeEvery)
+		}, 5},
+		{"a restarted endpoint starts anew", 16, func(c *healthCase) {
+			c.repeat(3, 0, Bad)
+			members := []Member{{ID: name(0), Incarnation: 2}}
+			for i := 1; i < 16; i++ {
+				members = append(members, Member{ID: name(i), Incarnation: 1})
+			}
+			c.h.SetEndpoints(c.now, members)
+		}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newHealthCase(tc.n, true)
+			tc.do(c)
+			is.Equal(c.ejected(), tc.ejected)
+		})
+	}
+}
+
+// An endpoint must come back step by step and stay out longer each time that it fails again.
+func TestReadmission(t *testing.T) {
+	is := is.New(t)
+	c := newHealthCase(16, true)
+	c.repeat(3, 0, Bad)
+	is.Equal(c.tick(0), []Action{Eject{name(0)}})
+	for _, length := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+		is.Equal(len(only[Probe](c.tick(length*time.Second-time.Millisecond), name(0))), 0) // no probe before the end
+		is.Equal(len(only[Probe](c.tick(time.Millisecond), name(0))), 1)
+		c.h.Probed(c.now, name(0), true)
+		is.Equal(c.h.Usable(name(0)), 1)
+		c.record(0, Bad)
+		is.Equal(c.h.Usable(name(0)), 0)
+	}
+	c.tick(30 * time.Second)
+	c.h.Probed(c.now, name(0), false)
+	c.tick(time.Second)
+	is.Equal(c.h.Usable(name(0)), 0) // a failed probe ejects again
+	c.tick(29 * time.Second)
+	c.h.Probed(c.now, name(0), true)
+	for _, want := range []int{2, 2, Unlimited} {
+		c.record(0, Good)
+		is.Equal(c.h.Usable(name(0)), want)
+	}
+}
+
+func only[A Action](actions []Action, endpoint string) []Action {
+	var found []Action
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Probe:
+			if _, ok := Action(a).(A); ok && a.Endpoint == endpoint {
+				found = append(found, a)
+			}
+		case Restore:
+			if _, ok := Action(a).(A); ok && a.Endpoint == endpoint {
+				found = append(found, a)
+			}
+		}
+	}
+	return found
+}
+
+// An ejection must reach peers, must not be prolonged by its echo, and must end with the owner's probe.
+func TestSharedEjection(t *testing.T) {
+	is := is.New(t)
+	owner, other := newHealthCase(16, true), newHealthCase(16, false)
+	other.repeat(3, 0, Bad)
+	exchange := func(d time.Duration) {
+		fromOther, fromOwner := other.h.Report(other.now), owner.h.Report(owner.now)
+		owner.tick(d)
+		other.tick(d)
+		owner.h.Learn(owner.now, fromOther)
+		other.h.Learn(other.now, fromOwner)
+	}
+	for range 9 {
+		exchange(100 * time.Millisecond)
+		is.Equal(owner.ejected(), 1)
+	}
+	exchange(99 * time.Millisecond)
+	exchange(time.Millisecond)
+	is.Equal(other.ejected(), 1) // waits for the owner's probe
+	exchange(100 * time.Millisecond)
+	owner.h.Probed(owner.now, name(0), true)
+	exchange(100 * time.Millisecond)
+	is.Equal(owner.h.Usable(name(0)), 1)
+	is.Equal(other.h.Usable(name(0)), 1)
+	exchange(100 * time.Millisecond)
+	is.Equal(owner.h.Usable(name(0)), 1) // the echo doesn't eject again
+}
+
+// An own success after the peer's ejection must outweigh it, as the peer's path may be at fault.
+func TestSuccessOutweighsReport(t *testing.T) {
+	is := is.New(t)
+	c := newHealthCase(16, false)
+	c.now = c.now.Add(2 * time.Second)
+	c.record(0, Good)
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(0), Incarnation: 1, Age: time.Second, Left: time.Second, Level: 1}})
+	is.Equal(c.ejected(), 0)
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(1), Incarnation: 1, Age: time.Second, Left: time.Second, Level: 1}})
+	is.Equal(c.ejected(), 1)
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(2), Incarnation: 9, Age: time.Second, Left: time.Second, Level: 1}})
+	is.Equal(c.ejected(), 1) // an ejection of another incarnation
+}
+
+// Slots withheld on a VM that doesn't own the endpoint must become usable after the owner's probe.
+func TestRestoreThroughOwner(t *testing.T) {
+	is := is.New(t)
+	owner, other := newHealthCase(16, true), newHealthCase(16, false)
+	other.record(0, Silent)
+	owner.tick(100 * time.Millisecond)
+	other.tick(100 * time.Millisecond)
+	owner.h.Learn(owner.now, other.h.Report(other.now))
+	owner.tick(5 * time.Second)
+	other.tick(5 * time.Second)
+	owner.h.Learn(owner.now, other.h.Report(other.now))
+	is.Equal(len(only[Probe](owner.tick(time.Second), name(0))), 1)
+	owner.h.Probed(owner.now, name(0), true)
+	other.tick(time.Second)
+	other.h.Learn(other.now, owner.h.Report(owner.now))
+	is.Equal(len(only[Restore](other.tick(time.Millisecond), name(0))), 1)
+	is.Equal(len(other.h.Report(other.now)), 0)
+}
+
+// Whatever happens, two thirds of the endpoints stay in use and the state depends on the inputs only.
+func TestHealthProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "endpoints")
+		a, b := newHealthCase(n, true), newHealthCase(n, true)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(rt, "endpoint")
+			step := rapid.IntRange(0, 7).Draw(rt, "step")
+			for _, c := range []*healthCase{a, b} {
+				switch step {
+				case 0, 1, 2, 3:
+					c.record(i, Verdict(step))
+				case 4:
+					c.tick(time.Duration(i) * 300 * time.Millisecond)
+				case 5, 6:
+					c.h.Probed(c.now, name(i), step == 5)
+				case 7:
+					c.h.Learn(c.now, []Ejection{{Endpoint: name(i), Incarnation: 1, Level: i, Left: time.Second}})
+				}
+			}
+			if a.ejected() > n/3 {
+				rt.Fatalf("%d of %d endpoints are ejected", a.ejected(), n)
+			}
+			for j := range n {
+				if a.h.Usable(name(j)) != b.h.Usable(name(j)) {
+					rt.Fatalf("two runs over the same inputs differ at %s", name(j))
+				}
+			}
+		}
+	})
+}
