Add the membership table of a zone

Cause: ownership of endpoints needs one view of the live entry VMs, from a list that lags and from peers that may be cut off.

Weighed: declaring a peer lost on own silence alone. With a broken link between two VMs one of them takes over slots that the other goes on using, so a peer stays as long as a third one that is heard still hears it. Reporting every change for 10 s multiplies the bytes when a rack fails; a change is part of 8 reports of at most 16 entries, and the hash finds the rest.

--- /dev/null
+++ b/zone/table.go
@@ -0,0 +1,316 @@
+package zone
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Config sets up a Table; zero durations have the defaults of the design.
+type Config struct {
+	VM          string
+	Zone        string
+	Incarnation uint64
+	Address     string
+	LinkAddress string
+	LostAfter   time.Duration // silence after which a peer is lost; default 1 s
+	RecentFor   time.Duration // age up to which changes are reported; default 10 s
+	SummaryAge  time.Duration // age from which a summary isn't used; default 2 s
+}
+
+// The limits of reports and of forgetting.
+const (
+	recentLimit  = 16               // changes in one report; more follow in the next ones or by exchange of the table
+	recentRepeat = 8                // reports that carry a change; a peer that misses all of them sees another hash
+	absentFor    = 10 * time.Second // a VM that newer lists lack for this long is gone
+	goneFor      = 24 * time.Hour   // a gone VM is remembered so that a stale list doesn't bring it back
+	divergeAfter = 2 * time.Second  // the hash of a peer may differ for this long
+	divergeEvery = 5 * time.Second  // shortest time between two exchanges of the table with one peer
+)
+
+// Change is a VM whose entry or reachability has changed.
+type Change struct {
+	VM    platform.VM
+	Lost  bool // an entry VM of the own zone has fallen silent
+	Found bool // a lost one was heard again
+}
+
+// record is what the table knows of a VM.
+type record struct {
+	vm      platform.VM
+	changed time.Time
+	reports int // number of reports that carried the change
+	heard   time.Time
+	lost    bool
+
+	listed bool      // the platform's list has named this incarnation
+	absent time.Time // first newer list without it
+
+	silent      []string // VMs that this peer doesn't hear, by its last report
+	silentAt    time.Time
+	differs     time.Time // since when its hash differs
+	exchanged   time.Time
+	unreachable time.Time // until then it isn't asked for summaries
+}
+
+// Table is the membership as one entry VM sees it.
+type Table struct {
+	mu      sync.Mutex
+	config  Config
+	records []*record // sorted by id
+	byID    map[string]*record
+	hash    uint64
+	entries []platform.VM // live entry VMs of the own zone, sorted by id
+	version uint64        // highest version of the platform's list
+
+	summaries []summary // sorted by service, zone and VM
+	backoffs  []backoff // sorted by zone
+}
+
+// NewTable returns a table that contains this VM only.
+func NewTable(config Config) *Table {
+	config.LostAfter = cmp.Or(config.LostAfter, time.Second)
+	config.RecentFor = cmp.Or(config.RecentFor, 10*time.Second)
+	config.SummaryAge = cmp.Or(config.SummaryAge, 2*time.Second)
+	t := &Table{config: config, byID: map[string]*record{}}
+	self := platform.VM{
+		ID: config.VM, Zone: config.Zone, Role: platform.RoleEntry, Address: config.Address,
+		LinkAddress: config.LinkAddress, Incarnation: config.Incarnation, State: platform.StateLive,
+	}
+	t.add(&record{vm: self})
+	t.refresh()
+	return t
+}
+
+func (t *Table) add(r *record) {
+	at, _ := slices.BinarySearchFunc(t.records, r.vm.ID, func(r *record, id string) int { return cmp.Compare(r.vm.ID, id) })
+	t.records = slices.Insert(t.records, at, r)
+	t.byID[r.vm.ID] = r
+}
+
+// Merge takes over entries from peers; an entry is used if its incarnation is higher or its state is further on.
+func (t *Table) Merge(now time.Time, vms []platform.VM) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.merge(now, vms)
+}
+
+// MergeList takes over the platform's list; a VM that newer lists lack for 10 s is gone.
+func (t *Table) MergeList(now time.Time, list platform.List) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.merge(now, list.VMs)
+	if list.Version <= t.version || len(list.VMs) == 0 {
+		return changes
+	}
+	t.version = list.Version
+	return append(changes, t.absences(now, list.VMs)...)
+}
+
+func (t *Table) merge(now time.Time, vms []platform.VM) []Change {
+	var changes []Change
+	for _, vm := range vms {
+		if t.relevant(vm) && t.accept(now, vm) {
+			changes = append(changes, Change{VM: t.byID[vm.ID].vm})
+		}
+	}
+	if len(changes) > 0 {
+		t.refresh()
+	}
+	return changes
+}
+
+// relevant keeps entry VMs of all zones and endpoints of the own zone.
+func (t *Table) relevant(vm platform.VM) bool {
+	if vm.ID == "" || rank(vm.State) < 0 {
+		return false
+	}
+	return vm.Role == platform.RoleEntry || vm.Role == platform.RoleEndpoint && vm.Zone == t.config.Zone
+}
+
+// accept takes over an entry and reports whether that changes anything that other packages see.
+func (t *Table) accept(now time.Time, vm platform.VM) bool {
+	r := t.byID[vm.ID]
+	if r == nil {
+		t.add(&record{vm: vm, changed: now, heard: now})
+		return vm.State != platform.StateGone
+	}
+	switch {
+	case vm.Incarnation > r.vm.Incarnation:
+		*r = record{vm: vm, changed: now, heard: now, exchanged: r.exchanged}
+		return true
+	case vm.Incarnation < r.vm.Incarnation:
+		return false
+	}
+	filled := r.fill(vm)
+	if rank(vm.State) <= rank(r.vm.State) {
+		return filled
+	}
+	r.vm.State = vm.State
+	r.changed, r.reports = now, 0
+	return true
+}
+
+// fill adds the fields that a VM known only by its reports lacks.
+func (r *record) fill(vm platform.VM) bool {
+	before := r.vm
+	r.vm.Address = cmp.Or(r.vm.Address, vm.Address)
+	r.vm.LinkAddress = cmp.Or(r.vm.LinkAddress, vm.LinkAddress)
+	return r.vm != before
+}
+
+// rank orders the states; it is negative for an unknown one.
+func rank(s platform.State) int {
+	return slices.Index([]platform.State{platform.StateLive, platform.StateLeaving, platform.StateGone}, s)
+}
+
+// absences marks VMs as gone that earlier lists named and newer ones lack.
+func (t *Table) absences(now time.Time, vms []platform.VM) []Change {
+	for _, r := range t.records {
+		if r.listed && r.absent.IsZero() {
+			r.absent = now
+		}
+	}
+	for _, vm := range vms {
+		if r := t.byID[vm.ID]; r != nil && r.vm.Incarnation == vm.Incarnation {
+			r.listed, r.absent = true, time.Time{}
+		}
+	}
+	return t.dropAbsent(now)
+}
+
+func (t *Table) dropAbsent(now time.Time) []Change {
+	var changes []Change
+	for _, r := range t.records {
+		if r.absent.IsZero() || now.Sub(r.absent) < absentFor || r.vm.ID == t.config.VM {
+			continue
+		}
+		if r.vm.State != platform.StateGone {
+			r.vm.State = platform.StateGone
+			r.changed, r.reports = now, 0
+			changes = append(changes, Change{VM: r.vm})
+		}
+	}
+	if len(changes) > 0 {
+		t.refresh()
+	}
+	return changes
+}
+
+// Heard records a message of an entry VM; a higher incarnation than known is a restart.
+func (t *Table) Heard(now time.Time, vm string, incarnation uint64) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[vm]
+	if r == nil || incarnation < r.vm.Incarnation {
+		return nil
+	}
+	r.heard, r.unreachable = now, time.Time{}
+	if incarnation > r.vm.Incarnation {
+		restarted := r.vm
+		restarted.Incarnation, restarted.State = incarnation, platform.StateLive
+		t.accept(now, restarted)
+		t.refresh()
+		return []Change{{VM: restarted}}
+	}
+	if !r.lost {
+		return nil
+	}
+	r.lost = false
+	t.refresh()
+	return []Change{{VM: r.vm, Found: true}}
+}
+
+// Tick finds peers lost after silence and forgets VMs that are gone for long; it is due several times a second.
+func (t *Table) Tick(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.dropAbsent(now)
+	for _, r := range t.records {
+		if r.lost || !t.isPeer(r) || !t.silentTo(now, r) || t.heardByOthers(now, r) {
+			continue
+		}
+		r.lost = true
+		changes = append(changes, Change{VM: r.vm, Lost: true})
+	}
+	t.forget(now)
+	if len(changes) > 0 {
+		t.refresh()
+	}
+	return changes
+}
+
+// isPeer reports whether a VM is another entry VM of the own zone that isn't gone.
+func (t *Table) isPeer(r *record) bool {
+	return r.vm.ID != t.config.VM && r.vm.Zone == t.config.Zone && r.vm.Role == platform.RoleEntry &&
+		r.vm.State != platform.StateGone
+}
+
+func (t *Table) silentTo(now time.Time, r *record) bool {
+	return now.Sub(r.heard) >= t.config.LostAfter
+}
+
+// heardByOthers reports whether a peer that this VM hears still hears the VM. A broken link between two VMs would
+// otherwise let one take over the slots that the other goes on using.
+func (t *Table) heardByOthers(now time.Time, lost *record) bool {
+	for _, r := range t.records {
+		if r == lost || !t.isPeer(r) || t.silentTo(now, r) || now.Sub(r.silentAt) >= t.config.LostAfter {
+			continue
+		}
+		if !slices.Contains(r.silent, lost.vm.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// Silent returns the ids of the peers that this VM doesn't hear, for its reports.
+func (t *Table) Silent(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for _, r := range t.records {
+		if t.isPeer(r) && t.silentTo(now, r) {
+			ids = append(ids, r.vm.ID)
+		}
+	}
+	return ids
+}
+
+// LearnSilent records which peers another one doesn't hear; it is due with each of its reports.
+func (t *Table) LearnSilent(now time.Time, from string, ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.byID[from]; r != nil {
+		r.silent, r.silentAt = ids, now
+	}
+}
+
+func (t *Table) forget(now time.Time) {
+	t.records = slices.DeleteFunc(t.records, func(r *record) bool {
+		old := r.vm.State == platform.StateGone && now.Sub(r.changed) >= goneFor
+		if old {
+			delete(t.byID, r.vm.ID)
+		}
+		return old
+	})
+}
+
+// refresh recomputes what is derived from the records.
+func (t *Table) refresh() {
+	t.entries = nil
+	t.hash = 0
+	for _, r := range t.records {
+		if r.vm.State == platform.StateGone {
+			continue
+		}
+		t.hash ^= r.digest()
+		self := r.vm.ID == t.config.VM
+		if (self || t.isPeer(r) && !r.lost) && r.vm.State == platform.StateLive {
+			t.entries = append(t.entries, r.vm)
+		}
+	}
+}
--- /dev/null
+++ b/zone/table_test.go
@@ -0,0 +1,285 @@
+package zone
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func entry(zone string, i int, incarnation uint64, state platform.State) platform.VM {
+	id := fmt.Sprintf("%s-entry-%d", zone, i)
+	return platform.VM{ID: id, Zone: zone, Role: platform.RoleEntry, Address: id + ":80", Incarnation: incarnation, State: state}
+}
+
+func executor(i int, incarnation uint64, state platform.State) platform.VM {
+	id := fmt.Sprintf("executor-%03d", i)
+	return platform.VM{ID: id, Zone: "a", Role: platform.RoleEndpoint, Service: "sort", Address: id + ":80", Incarnation: incarnation, State: state}
+}
+
+func newTestTable(i int) *Table {
+	self := entry("a", i, 1, platform.StateLive)
+	return NewTable(Config{VM: self.ID, Zone: "a", Incarnation: 1, Address: self.Address})
+}
+
+func ids(vms []platform.VM) string {
+	text := ""
+	for _, vm := range vms {
+		text += vm.ID + " "
+	}
+	return text
+}
+
+const (
+	live    = platform.StateLive
+	leaving = platform.StateLeaving
+	gone    = platform.StateGone
+)
+
+func TestStatesMoveForward(t *testing.T) {
+	cases := []struct {
+		name    string
+		merges  []platform.VM
+		state   platform.State
+		inc     uint64
+		changes int
+	}{
+		{"new", []platform.VM{executor(1, 1, live)}, live, 1, 1},
+		{"leaving", []platform.VM{executor(1, 1, live), executor(1, 1, leaving)}, leaving, 1, 2},
+		{"list goes backward", []platform.VM{executor(1, 1, leaving), executor(1, 1, live)}, leaving, 1, 1},
+		{"gone and stale list", []platform.VM{executor(1, 1, gone), executor(1, 1, live), executor(1, 1, leaving)}, gone, 1, 0},
+		{"restart", []platform.VM{executor(1, 1, gone), executor(1, 2, live)}, live, 2, 1},
+		{"old incarnation", []platform.VM{executor(1, 2, live), executor(1, 1, gone)}, live, 2, 1},
+		{"unknown state", []platform.VM{executor(1, 1, live), executor(1, 1, "sleeping")}, live, 1, 1},
+		{"repeated", []platform.VM{executor(1, 1, live), executor(1, 1, live)}, live, 1, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTestTable(0)
+			changes := 0
+			for _, vm := range tc.merges {
+				changes += len(table.Merge(start, []platform.VM{vm}))
+			}
+			vm, ok := table.Get("executor-001")
+			is.True(ok)
+			is.Equal(vm.State, tc.state)
+			is.Equal(vm.Incarnation, tc.inc)
+			is.Equal(changes, tc.changes)
+			is.Equal(len(table.Endpoints("sort")) == 1, tc.state == live)
+		})
+	}
+}
+
+// A peer must be lost after 1 s of silence whatever the platform says, and found again when it is heard.
+func TestLostAndFound(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(0)
+	list := []platform.VM{entry("a", 0, 1, live), entry("a", 1, 1, live), entry("a", 2, 1, leaving), entry("b", 0, 1, live)}
+	table.Merge(start, list)
+	is.Equal(ids(table.Entries()), "a-entry-0 a-entry-1 ")
+	is.Equal(ids(table.Peers()), "a-entry-1 a-entry-2 ")
+	table.Heard(at(800*time.Millisecond), "a-entry-1", 1)
+	changes := table.Tick(at(time.Second))
+	is.Equal(len(changes), 1)
+	is.True(changes[0].Lost && changes[0].VM.ID == "a-entry-2")
+	is.Equal(len(table.Tick(at(1790*time.Millisecond))), 0)
+	is.Equal(len(table.Tick(at(1800*time.Millisecond))), 1)
+	is.Equal(ids(table.Entries()), "a-entry-0 ")
+	is.Equal(ids(table.Known()), "a-entry-1 a-entry-2 ") // reports still go there, else two halves of a zone never rejoin
+	is.Equal(len(table.Merge(at(2*time.Second), list)), 0)
+	is.Equal(ids(table.Entries()), "a-entry-0 ") // the stale list doesn't bring it back
+	is.Equal(len(table.Heard(at(3*time.Second), "a-entry-1", 0)), 0)
+	is.True(table.Heard(at(3*time.Second), "a-entry-1", 1)[0].Found)
+	is.Equal(ids(table.Entries()), "a-entry-0 a-entry-1 ")
+	is.Equal(table.Heard(at(4*time.Second), "a-entry-2", 2)[0].VM.State, live) // restarted
+	is.Equal(ids(table.Entries()), "a-entry-0 a-entry-1 a-entry-2 ")
+}
+
+// Two VMs with a broken link between them must agree on the owners as long as a third one hears both.
+func TestBrokenLinkBetweenTwo(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(0)
+	table.Merge(start, []platform.VM{entry("a", 1, 1, live), entry("a", 2, 1, live)})
+	for i := range 30 {
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		table.Heard(now, "a-entry-1", 1)
+		table.LearnSilent(now, "a-entry-1", nil)
+		is.Equal(len(table.Tick(now)), 0)
+	}
+	is.Equal(table.Silent(at(3*time.Second)), []string{"a-entry-2"})
+	table.Heard(at(3*time.Second), "a-entry-1", 1)
+	table.LearnSilent(at(3*time.Second), "a-entry-1", []string{"a-entry-2"})
+	is.Equal(len(table.Tick(at(3*time.Second))), 1)
+}
+
+// A VM that the platform forgets without saying that it is gone must not stay for ever.
+func TestAbsentFromList(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(0)
+	table.MergeList(start, platform.List{Version: 5, VMs: []platform.VM{executor(1, 1, live), executor(2, 1, live)}})
+	shorter := []platform.VM{executor(1, 1, live)}
+	table.MergeList(at(1*time.Second), platform.List{Version: 4, VMs: shorter}) // a list of earlier
+	table.MergeList(at(2*time.Second), platform.List{Version: 6})               // unchanged, or broken
+	is.Equal(len(table.Tick(at(13*time.Second))), 0)
+	table.MergeList(at(20*time.Second), platform.List{Version: 6, VMs: shorter})
+	is.Equal(len(table.Tick(at(29*time.Second))), 0)
+	changes := table.Tick(at(30 * time.Second))
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].VM, executor(2, 1, gone))
+	_, ok := table.Get("a-entry-0")
+	is.True(ok)
+	is.Equal(ids(table.Entries()), "a-entry-0 ") // this VM itself isn't listed
+}
+
+// Changes must reach peers without the platform, in few bytes, and a missed one must show in the hash.
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestTable(0), newTestTable(1)
+	exchange := func(now time.Time) {
+		b.Merge(now, a.Recent(now))
+		a.Merge(now, b.Recent(now))
+	}
+	exchange(start)
+	is.Equal(a.Hash(), b.Hash())
+	is.Equal(ids(a.Entries()), "a-entry-0 a-entry-1 ")
+	var vms []platform.VM
+	for i := range 40 {
+		vms = append(vms, executor(i, 1, live))
+	}
+	a.Merge(start, vms)
+	is.Equal(len(a.Recent(start)), recentLimit)
+	exchange(start)
+	is.True(a.Hash() != b.Hash())
+	is.True(!a.Diverged(start, "a-entry-1", b.Hash()))
+	is.True(a.Diverged(at(3*time.Second), "a-entry-1", b.Hash()))
+	is.True(!a.Diverged(at(4*time.Second), "a-entry-1", b.Hash())) // once in 5 s
+	b.Merge(at(4*time.Second), a.All())
+	is.Equal(a.Hash(), b.Hash())
+	a.Merge(at(5*time.Second), []platform.VM{executor(3, 1, leaving)})
+	exchange(at(5 * time.Second))
+	is.Equal(len(b.Endpoints("sort")), 39)
+	is.Equal(len(a.Recent(at(16*time.Second))), 0)
+}
+
+// A change of one VM must move only the endpoints of that VM.
+func TestRendezvous(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(0)
+	for i := range 5 {
+		table.Merge(start, []platform.VM{entry("a", i, 1, live)})
+	}
+	owners := map[string]int{}
+	before := map[int]string{}
+	for i := range 220 {
+		before[i] = table.Owner(executor(i, 1, live).ID)
+		owners[before[i]]++
+	}
+	t.Log("endpoints per owner:", owners)
+	is.Equal(len(owners), 5)
+	for _, n := range owners {
+		is.True(n > 25 && n < 65) // 44 on average
+	}
+	table.Merge(start, []platform.VM{entry("a", 3, 1, leaving)})
+	for i := range 220 {
+		if owner := table.Owner(executor(i, 1, live).ID); before[i] != "a-entry-3" {
+			is.Equal(owner, before[i])
+		}
+	}
+}
+
+func TestZonesThatHelp(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(0)
+	table.Merge(start, []platform.VM{entry("b", 0, 1, live), entry("b", 1, 1, live), entry("c", 0, 1, live), entry("c", 1, 1, leaving)})
+	best := func(now time.Time, tasks int) string {
+		vm, _ := table.BestZone(now, "sort", tasks)
+		return vm.ID
+	}
+	is.Equal(best(start, 1), "") // nothing known
+	table.Summarize(start, Summary{Zone: "b", VM: "b-entry-0", Service: "sort", Idle: 10})
+	table.Summarize(start, Summary{Zone: "c", VM: "c-entry-0", Service: "sort", Idle: 30})
+	table.Summarize(start, Summary{Zone: "c", VM: "c-entry-1", Service: "sort", Idle: 99})  // leaving
+	table.Summarize(start, Summary{Zone: "c", VM: "c-entry-9", Service: "sort", Idle: 99})  // unknown VM
+	table.Summarize(start, Summary{Zone: "a", VM: "a-entry-1", Service: "sort", Idle: 999}) // own zone
+	is.Equal(best(start, 31), "")
+	is.Equal(best(start, 25), "c-entry-0")
+	is.Equal(best(start, 9), "b-entry-0") // 5 are left in the other zone
+	table.Refused(start, "b")
+	is.Equal(best(start, 1), "c-entry-0")
+	is.Equal(best(at(99*time.Millisecond), 5), "")
+	table.Summarize(at(100*time.Millisecond), Summary{Zone: "b", VM: "b-entry-0", Service: "sort", Idle: 50})
+	is.Equal(best(at(100*time.Millisecond), 5), "b-entry-0")
+	table.Refused(at(100*time.Millisecond), "b")
+	is.Equal(best(at(299*time.Millisecond), 5), "") // the backoff doubles
+	is.Equal(best(at(300*time.Millisecond), 5), "b-entry-0")
+	table.Refused(at(300*time.Millisecond), "b")
+	table.Accepted("b")
+	is.Equal(best(at(301*time.Millisecond), 5), "b-entry-0")
+	is.Equal(best(at(2100*time.Millisecond), 1), "") // too old
+}
+
+// Each VM of another zone must serve about the same number of VMs, and one that doesn't answer must be replaced.
+func TestSummaryPeersAreSpread(t *testing.T) {
+	is := is.New(t)
+	var vms []platform.VM
+	for i := range 5 {
+		vms = append(vms, entry("a", i, 1, live), entry("b", i, 1, live))
+	}
+	vms = append(vms, entry("c", 0, 1, live))
+	chosen := map[string]int{}
+	for i := range 5 {
+		table := newTestTable(i)
+		table.Merge(start, vms)
+		peers := table.SummaryPeers(start)
+		is.Equal(len(peers), 3)
+		for _, vm := range peers {
+			chosen[vm.ID]++
+		}
+		table.Unreachable(start, peers[0].ID)
+		is.True(!slices.Contains(table.SummaryPeers(start), peers[0]))
+		table.Heard(start, peers[0].ID, 1)
+		is.True(slices.Contains(table.SummaryPeers(start), peers[0]))
+	}
+	for i := range 5 {
+		is.Equal(chosen[entry("b", i, 1, live).ID], 2)
+	}
+}
+
+// Whatever the order of messages, tables that have merged the same entries are equal, and no state moves backward.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := rapid.Custom(func(rt *rapid.T) platform.VM {
+			state := rapid.SampledFrom([]platform.State{live, leaving, gone}).Draw(rt, "state")
+			incarnation := rapid.Uint64Range(1, 3).Draw(rt, "incarnation")
+			if rapid.Bool().Draw(rt, "entry") {
+				return entry("a", rapid.IntRange(0, 3).Draw(rt, "i"), incarnation, state)
+			}
+			return executor(rapid.IntRange(0, 3).Draw(rt, "i"), incarnation, state)
+		})
+		vms := rapid.SliceOfN(draw, 1, 30).Draw(rt, "vms")
+		other := rapid.Permutation(vms).Draw(rt, "other order")
+		a, b := newTestTable(9), newTestTable(9)
+		for i := range vms {
+			before, _ := a.Get(vms[i].ID)
+			a.Merge(start, vms[i:i+1])
+			after, _ := a.Get(vms[i].ID)
+			if after.Incarnation < before.Incarnation || after.Incarnation == before.Incarnation && rank(after.State) < rank(before.State) {
+				rt.Fatalf("state moved from %v to %v", before, after)
+			}
+			b.Merge(start, other[i:i+1])
+		}
+		if a.Hash() != b.Hash() || ids(a.Entries()) != ids(b.Entries()) || !slices.Equal(a.All(), b.All()) {
+			rt.Fatalf("tables differ: %v and %v", a.All(), b.All())
+		}
+	})
+}
--- /dev/null
+++ b/zone/view.go
@@ -0,0 +1,145 @@
+package zone
+
+import (
+	"slices"
+	"time"
+
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Endpoints returns the live endpoints of a service in the own zone, sorted by id.
+func (t *Table) Endpoints(service string) []platform.VM {
+	return t.find(func(r *record) bool {
+		return r.vm.Role == platform.RoleEndpoint && r.vm.Service == service && r.vm.State == platform.StateLive
+	})
+}
+
+// Entries returns the live entry VMs of the own zone without lost ones, sorted by id.
+func (t *Table) Entries() []platform.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.entries)
+}
+
+// Peers returns the other entry VMs of the own zone, live or leaving, without lost ones, sorted by id.
+func (t *Table) Peers() []platform.VM {
+	return t.find(func(r *record) bool { return t.isPeer(r) && !r.lost })
+}
+
+// Known returns the other entry VMs of the own zone that aren't gone, with lost ones, to which reports are sent.
+func (t *Table) Known() []platform.VM { return t.find(t.isPeer) }
+
+// All returns the whole table with VMs that are gone, for an exchange, sorted by id.
+func (t *Table) All() []platform.VM { return t.find(func(*record) bool { return true }) }
+
+// Get returns the entry of a VM.
+func (t *Table) Get(id string) (platform.VM, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.byID[id]; r != nil {
+		return r.vm, true
+	}
+	return platform.VM{}, false
+}
+
+func (t *Table) find(match func(*record) bool) []platform.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var vms []platform.VM
+	for _, r := range t.records {
+		if match(r) {
+			vms = append(vms, r.vm)
+		}
+	}
+	return vms
+}
+
+// Owner returns the id of the entry VM that owns an endpoint, by rendezvous hash over Entries, or "" without any.
+func (t *Table) Owner(endpoint string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owner, best := "", uint64(0)
+	for _, vm := range t.entries {
+		if weight := mix(fnv(fnv(offset, endpoint), vm.ID)); owner == "" || weight > best {
+			owner, best = vm.ID, weight
+		}
+	}
+	return owner
+}
+
+// Recent returns changes of the last 10 s for the next report; each is part of at most 8 reports and a report has at
+// most 16.
+func (t *Table) Recent(now time.Time) []platform.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var vms []platform.VM
+	for _, r := range t.records {
+		if len(vms) == recentLimit {
+			break
+		}
+		if r.changed.IsZero() {
+			r.changed = now // this VM itself, in its first report
+		}
+		if r.reports >= recentRepeat || now.Sub(r.changed) >= t.config.RecentFor {
+			continue
+		}
+		r.reports++
+		vms = append(vms, r.vm)
+	}
+	return vms
+}
+
+// Hash returns a hash of all VMs that aren't gone, to compare with that of a peer.
+func (t *Table) Hash() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hash
+}
+
+// Diverged records the hash of a peer and reports whether the whole table should be exchanged with it.
+func (t *Table) Diverged(now time.Time, from string, hash uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[from]
+	if r == nil {
+		return true
+	}
+	if hash == t.hash {
+		r.differs = time.Time{}
+		return false
+	}
+	if r.differs.IsZero() {
+		r.differs = now
+	}
+	if now.Sub(r.differs) < divergeAfter || now.Sub(r.exchanged) < divergeEvery {
+		return false
+	}
+	r.exchanged = now
+	return true
+}
+
+// Constants of the 64-bit FNV-1a hash.
+const (
+	offset = 14695981039346656037
+	prime  = 1099511628211
+)
+
+func fnv(hash uint64, text string) uint64 {
+	for i := range len(text) {
+		hash = (hash ^ uint64(text[i])) * prime
+	}
+	return (hash ^ 0xff) * prime // separates this text from the next one
+}
+
+// mix spreads a hash over all bits, because FNV alone leaves similar names with similar weights.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// digest is the part of a VM in the hash of the table.
+func (r *record) digest() uint64 {
+	hash := fnv(fnv(offset, r.vm.ID), string(r.vm.State))
+	return mix(hash ^ mix(r.vm.Incarnation))
+}
