Run the whole path: decision core, entry VM and the entry command

Cause: the packages were there, but nothing served a request from end to end. Not there yet: expected wait at admission, zone-wide targets, retry budget, demo.

--- a/cmd/samphireplank/command.go
+++ b/cmd/samphireplank/command.go
@@ -48,6 +48,7 @@
 		{"history", "List the publications", historyHelp, &historyCommand{}},
 		{"restore", "Publish the set of an earlier generation again", restoreHelp, &restoreCommand{}},
 		{"status", "Show the generation in force on every entry VM", statusHelp, &statusCommand{}},
+		{"entry", "Run an entry VM", entryHelp, &entryCommand{}},
 		{"load", "Generate load and report", loadHelp, &loadCommand{}},
 	}
 }
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -28,12 +28,13 @@
 	Outcome    job.Outcome
 	Reason     string
 	RetryAfter time.Duration
+	Overflow   bool // not run here for lack of slots; an entry VM of another zone may run it
 }
 
-// Forward offers a job that is not admitted here to an entry VM of another zone; it takes the place of Finish.
-type Forward struct {
-	Job  job.ID
-	Peer string // id of the entry VM
+// SendPeer delivers a message to an entry VM of the own zone; the message may get lost.
+type SendPeer struct {
+	Peer string
+	Body PeerBody
 }
 
 // Probe sends a health probe to an endpoint; the caller answers with ProbeFinished.
@@ -43,7 +44,7 @@
 	Path     string
 }
 
-func (Start) effect()   {}
-func (Finish) effect()  {}
-func (Forward) effect() {}
-func (Probe) effect()   {}
+func (Start) effect()    {}
+func (Finish) effect()   {}
+func (SendPeer) effect() {}
+func (Probe) effect()    {}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/endpoint"
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/queue"
+)
+
+// jobState is what the core knows of a job from its admission until its last running task has ended.
+type jobState struct {
+	kind      contract.Kind
+	flow      queue.Flow
+	deadline  time.Time
+	tasks     int
+	succeeded int
+	running   int
+	started   int     // starts that may have reached an endpoint
+	attempts  []uint8 // starts of each task, without refused and unsent ones
+	failure   job.Outcome
+	reason    string
+	answered  bool
+}
+
+// fail records why the job cannot complete; Unknown outweighs Failed.
+func (j *jobState) fail(outcome job.Outcome, reason string) {
+	if j.failure == job.Pending || (j.failure == job.Failed && outcome == job.Unknown) {
+		j.failure = outcome
+		j.reason = reason
+	}
+}
+
+// cancel answers a job at once; its tasks in flight keep their slots until their endpoints answer.
+func (c *Core) cancel(id job.ID) {
+	j, ok := c.jobs[id]
+	if !ok || j.answered {
+		return
+	}
+	c.queue.Remove(id)
+	switch {
+	case j.running > 0:
+		c.finish(id, j, job.Unknown, fmt.Sprintf("cancelled while %d of %d tasks were running", j.running, j.tasks))
+	case j.started > 0:
+		c.finish(id, j, job.Failed, fmt.Sprintf("cancelled after %d of %d tasks had run", j.succeeded, j.tasks))
+	default:
+		c.finish(id, j, job.NotRun, "cancelled before any task was started")
+	}
+	c.forget(id, j)
+}
+
+// finish answers a job once.
+func (c *Core) finish(id job.ID, j *jobState, outcome job.Outcome, reason string) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	c.emit(Finish{Job: id, Outcome: outcome, Reason: reason})
+}
+
+// forget drops an answered job whose last running task has ended.
+func (c *Core) forget(id job.ID, j *jobState) {
+	if j.answered && j.running == 0 {
+		delete(c.jobs, id)
+	}
+}
+
+// expire ends queued jobs whose deadline has passed.
+func (c *Core) expire(now time.Time) {
+	c.expired = c.queue.Expired(now, c.expired[:0])
+	for _, id := range c.expired {
+		j, ok := c.jobs[id]
+		if !ok {
+			continue
+		}
+		if j.started == 0 && j.running == 0 {
+			c.finish(id, j, job.NotRun, "deadline passed before any task was started")
+			c.forget(id, j)
+			continue
+		}
+		j.fail(job.Failed, "deadline passed before every task was started")
+		c.settle(id, j)
+	}
+}
+
+// settle answers a job that is complete, or that has failed and has no task in flight.
+func (c *Core) settle(id job.ID, j *jobState) {
+	switch {
+	case j.succeeded == j.tasks:
+		c.finish(id, j, job.Complete, "")
+	case j.failure != job.Pending && j.running == 0:
+		c.finish(id, j, j.failure, j.reason)
+	}
+	c.forget(id, j)
+}
+
+// startTasks starts queued tasks while slots are held.
+func (c *Core) startTasks(now time.Time) {
+	for c.queue.Queued() > 0 {
+		held, ok := c.ledger.Take(now)
+		if !ok {
+			return
+		}
+		task, ok := c.queue.Next(now)
+		if !ok {
+			c.ledger.Release(now, held.ID)
+			return
+		}
+		c.start(now, task, held.ID, held.Endpoint)
+	}
+}
+
+// start emits the Start of a task on a slot.
+func (c *Core) start(now time.Time, task queue.Task, slotID uint64, endpointID string) {
+	j := c.jobs[task.Job]
+	j.running++
+	j.started++
+	j.attempts[task.Index]++
+	c.emit(Start{
+		Job:      task.Job,
+		Task:     task.Index,
+		Attempt:  int(j.attempts[task.Index]),
+		Kind:     j.kind.Name,
+		Path:     j.kind.Path,
+		Endpoint: endpointID,
+		Address:  c.endpoints[endpointID].Address,
+		Slot:     slotID,
+		Timeout:  j.deadline.Sub(now),
+	})
+}
+
+// taskFinished accounts for the end of a send.
+func (c *Core) taskFinished(now time.Time, m TaskFinished) {
+	j, ok := c.jobs[m.Job]
+	if !ok {
+		return
+	}
+	j.running--
+	c.queue.Done(j.flow)
+	c.settleSlot(now, m)
+	c.recordHealth(now, m)
+	switch m.Result {
+	case endpoint.Succeeded:
+		j.succeeded++
+	case endpoint.Refused, endpoint.NotSent:
+		j.started--
+		j.attempts[m.Task]--
+		c.requeue(j, m)
+	case endpoint.Rejected:
+		c.abandon(m, j, job.Failed, fmt.Sprintf("endpoint %q rejected task %d", m.Endpoint, m.Task))
+	case endpoint.Failed:
+		c.retry(now, j, m, job.Failed, fmt.Sprintf("task %d failed on endpoint %q", m.Task, m.Endpoint))
+	case endpoint.Unknown:
+		c.retry(now, j, m, job.Unknown, fmt.Sprintf("endpoint %q gave no valid answer to task %d", m.Endpoint, m.Task))
+	}
+	c.settle(m.Job, j)
+}
+
+// requeue returns a task that no endpoint has started to the queue.
+func (c *Core) requeue(j *jobState, m TaskFinished) {
+	if j.answered || j.failure != job.Pending {
+		return
+	}
+	c.queue.Requeue(queue.Task{Job: m.Job, Flow: j.flow, Index: m.Task})
+}
+
+// retry starts a failed task of an idempotent kind again while attempts and the retry budget last.
+func (c *Core) retry(now time.Time, j *jobState, m TaskFinished, outcome job.Outcome, reason string) {
+	allowed := j.kind.Idempotent && int(j.attempts[m.Task]) < j.kind.Attempts && now.Before(j.deadline) &&
+		!j.answered && j.failure == job.Pending
+	if allowed {
+		c.requeue(j, m)
+		return
+	}
+	c.abandon(m, j, outcome, reason)
+}
+
+// abandon fails a job for good and drops its tasks that were not started.
+func (c *Core) abandon(m TaskFinished, j *jobState, outcome job.Outcome, reason string) {
+	j.fail(outcome, reason)
+	c.queue.Remove(m.Job)
+}
+
+// settleSlot frees the slot of a send unless the endpoint may still be using it.
+func (c *Core) settleSlot(now time.Time, m TaskFinished) {
+	switch m.Result {
+	case endpoint.Unknown:
+		c.ledger.Withhold(now, m.Slot)
+	case endpoint.Refused, endpoint.NotSent:
+		c.refusals.add(now, m.Endpoint, m.Slot)
+	default:
+		c.refusals.forget(m.Endpoint)
+		c.ledger.Release(now, m.Slot)
+	}
+}
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -38,11 +38,17 @@
 // Tick lets time pass; it is sent every TickInterval.
 type Tick struct{}
 
-// EndpointsChanged gives all endpoints of the service in the own zone.
-type EndpointsChanged struct{ Endpoints []platform.VM }
+// Endpoint is an endpoint of the own zone with the entry VM that owns its slots.
+type Endpoint struct {
+	platform.VM
+	Owner string
+}
 
-// EntriesChanged gives all live entry VMs of the own zone, including this one.
-type EntriesChanged struct{ Entries []platform.VM }
+// ZoneChanged gives all live endpoints of the service and all other entry VMs of the zone that are not lost.
+type ZoneChanged struct {
+	Endpoints []Endpoint
+	Peers     []string
+}
 
 // ConfigurationChanged puts a set of objects in force.
 type ConfigurationChanged struct{ Set *contract.Set }
@@ -53,6 +59,12 @@
 	Healthy  bool
 }
 
+// PeerMessage delivers a message of another entry VM of the own zone.
+type PeerMessage struct {
+	From string
+	Body PeerBody
+}
+
 // Drain starts the graceful shutdown: borrowed slots are returned as they fall idle and owned endpoints are handed over.
 type Drain struct{}
 
@@ -60,8 +72,8 @@
 func (Cancel) message()               {}
 func (TaskFinished) message()         {}
 func (Tick) message()                 {}
-func (EndpointsChanged) message()     {}
-func (EntriesChanged) message()       {}
+func (ZoneChanged) message()          {}
 func (ConfigurationChanged) message() {}
 func (ProbeFinished) message()        {}
+func (PeerMessage) message()          {}
 func (Drain) message()                {}
--- /dev/null
+++ b/entry/await.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/link"
+	"samphireplank.example/samphireplank/link/linkpb"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Await returns the answer of a submission, or a Pending one after the wait.
+func (e *Entry) Await(ctx context.Context, id job.ID, wait time.Duration) (job.Answer, error) {
+	if rec, ok := e.registry.find(id); ok {
+		return awaitRecord(ctx, rec, wait), nil
+	}
+	if e.isHome(id) {
+		return job.Answer{ID: id, Outcome: job.Unknown, Reason: errUnknownJob.Error()}, nil
+	}
+	home, unknown := e.home(id)
+	if home.ID == "" {
+		return unknown, nil
+	}
+	reply, err := e.links.Lookup(ctx, home.LinkAddress, &linkpb.LookupRequest{
+		Id:               id.String(),
+		WaitMilliseconds: uint64(wait.Milliseconds()),
+	})
+	return homeAnswer(id, home, reply, err), nil
+}
+
+// awaitRecord waits for the answer of a record.
+func awaitRecord(ctx context.Context, rec *record, wait time.Duration) job.Answer {
+	if wait <= 0 {
+		return rec.current()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-rec.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return rec.current()
+}
+
+// Cancel withdraws a submission.
+func (e *Entry) Cancel(ctx context.Context, id job.ID) error {
+	if rec, ok := e.registry.find(id); ok {
+		e.cancelRecord(rec)
+		return nil
+	}
+	if e.isHome(id) {
+		return nil // Await says what is known
+	}
+	home, _ := e.home(id)
+	if home.ID == "" {
+		return nil
+	}
+	_, err := e.links.Cancel(ctx, home.LinkAddress, &linkpb.CancelRequest{Id: id.String()})
+	var failed *link.Error
+	if errors.As(err, &failed) {
+		return fmt.Errorf("cancel at entry VM %q: %w", home.ID, err)
+	}
+	return err
+}
+
+func (e *Entry) cancelRecord(rec *record) {
+	if s, ok := e.shardOf(rec.kind.Service); ok {
+		e.update(s, dispatch.Cancel{Job: rec.submission.ID})
+	}
+}
+
+// home returns the entry VM that minted the id, or the answer when it is gone.
+func (e *Entry) home(id job.ID) (platform.VM, job.Answer) {
+	vm, ok := e.table.Get(id.VM)
+	if !ok || vm.Incarnation != id.Incarnation || vm.State == platform.StateGone {
+		reason := fmt.Sprintf("the entry VM %q that issued the id is gone", id.VM)
+		return platform.VM{}, job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}
+	}
+	return vm, job.Answer{}
+}
+
+// homeAnswer returns the answer that the home of an id gave, or Unknown.
+func homeAnswer(id job.ID, home platform.VM, reply *linkpb.Answer, err error) job.Answer {
+	if err == nil {
+		answer, err := parseAnswer(reply)
+		if err == nil && answer.ID == id {
+			return answer
+		}
+	}
+	reason := fmt.Sprintf("the entry VM %q that issued the id gave no answer", home.ID)
+	return job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}
+}
--- /dev/null
+++ b/entry/membership.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/link/linkpb"
+	"samphireplank.example/samphireplank/platform"
+)
+
+const (
+	membershipPeriod   = 50 * time.Millisecond
+	summaryPeriod      = time.Second
+	housekeepingPeriod = time.Second
+)
+
+// membershipLoop finds lost peers and tells the cores of changes.
+func (e *Entry) membershipLoop() {
+	e.askSeeds()
+	ticker := time.NewTicker(membershipPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, change := range e.table.Tick(now) {
+				e.membershipOut.Store(true)
+				e.config.Log.Info().Str("event", "membership-changed").Str("vm", change.VM.ID).
+					Bool("lost", change.Lost).Bool("found", change.Found).Msg("membership changed")
+			}
+			if e.membershipOut.CompareAndSwap(true, false) {
+				e.configure.Lock()
+				e.applyMembership()
+				e.configure.Unlock()
+			}
+		}
+	}
+}
+
+// askSeeds gets membership and configuration from the peers of the settings, which works without the platform.
+func (e *Entry) askSeeds() {
+	for _, address := range e.config.Peers {
+		if address == e.self.LinkAddress || !e.fetchTableFrom(address) {
+			continue
+		}
+		if e.force.Load() == nil {
+			e.fetchConfiguration(address, address)
+		}
+	}
+}
+
+// applyMembership gives the cores their endpoints, owners and peers; the caller holds configure.
+func (e *Entry) applyMembership() {
+	peers := e.table.Peers()
+	e.outboxes.set(e.table.Known())
+	ids := make([]string, 0, len(peers))
+	for _, peer := range peers {
+		ids = append(ids, peer.ID)
+	}
+	for _, s := range e.allShards() {
+		var endpoints []dispatch.Endpoint
+		for _, vm := range e.table.Endpoints(s.service) {
+			endpoints = append(endpoints, dispatch.Endpoint{VM: vm, Owner: e.table.Owner(vm.ID)})
+		}
+		e.update(s, dispatch.ZoneChanged{Endpoints: endpoints, Peers: ids})
+	}
+}
+
+// summaryLoop exchanges summaries, reports and the generation with entry VMs of other zones.
+func (e *Entry) summaryLoop() {
+	for e.sleep(summaryPeriod) {
+		peers := e.table.SummaryPeers(time.Now())
+		var group errgroup.Group
+		for _, peer := range peers {
+			group.Go(func() error {
+				e.exchangeSummary(peer)
+				return nil
+			})
+		}
+		_ = group.Wait() // no function returns an error
+	}
+}
+
+func (e *Entry) exchangeSummary(peer platform.VM) {
+	ctx, cancel := context.WithTimeout(e.ctx, summaryPeriod/2)
+	defer cancel()
+	reply, err := e.links.Exchange(ctx, peer.LinkAddress, e.newBatch(e.summaryBatches(), true, true))
+	if err != nil {
+		e.table.Unreachable(time.Now(), peer.ID)
+		return
+	}
+	e.receiveBatch(reply, peer.ID, nil)
+}
+
+// summaryBatches describes the load of this zone for each service.
+func (e *Entry) summaryBatches() []*linkpb.ServiceBatch {
+	var batches []*linkpb.ServiceBatch
+	for _, s := range e.allShards() {
+		s.mu.Lock()
+		load := s.core.ZoneLoad(time.Now())
+		s.mu.Unlock()
+		batches = append(batches, &linkpb.ServiceBatch{Service: s.service, Summary: &linkpb.Summary{
+			Slots: uint32(load.Slots), Idle: uint32(max(load.Slots-load.Running, 0)), Queued: uint32(load.Queued),
+		}})
+	}
+	return batches
+}
+
+// housekeepingLoop forgets old answers and closes idle connections.
+func (e *Entry) housekeepingLoop() {
+	for e.sleep(housekeepingPeriod) {
+		e.registry.expire(time.Now())
+		e.endpoints.CloseIdle()
+	}
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/endpoint"
+	"samphireplank.example/samphireplank/job"
+)
+
+// metricSet holds the metrics of one entry VM; several may run in one process.
+type metricSet struct {
+	set             *metrics.Set
+	forwards        *metrics.Counter
+	forwardsRefused *metrics.Counter
+	exchanges       *metrics.Counter
+	exchangesFailed *metrics.Counter
+}
+
+func newMetricSet() *metricSet {
+	set := metrics.NewSet()
+	return &metricSet{
+		set:             set,
+		forwards:        set.NewCounter("samphireplank_forwards_total"),
+		forwardsRefused: set.NewCounter("samphireplank_forwards_refused_total"),
+		exchanges:       set.NewCounter("samphireplank_exchanges_total"),
+		exchangesFailed: set.NewCounter("samphireplank_exchanges_failed_total"),
+	}
+}
+
+// jobEnded counts the outcome of a job and its response time by priority and team.
+func (m *metricSet) jobEnded(rec *record, outcome job.Outcome, now time.Time) {
+	labels := fmt.Sprintf("{priority=%q,team=%q}", rec.kind.Priority, rec.submission.Team)
+	m.set.GetOrCreateHistogram("samphireplank_response_seconds" + labels).Update(now.Sub(rec.accepted).Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf("samphireplank_jobs_total{priority=%q,team=%q,outcome=%q}",
+		rec.kind.Priority, rec.submission.Team, outcome)).Inc()
+}
+
+// taskEnded counts the result of a send and its run time by priority and team.
+func (m *metricSet) taskEnded(rec *record, response endpoint.Response) {
+	labels := fmt.Sprintf("{priority=%q,team=%q}", rec.kind.Priority, rec.submission.Team)
+	m.set.GetOrCreateHistogram("samphireplank_run_seconds" + labels).Update(response.RunTime.Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf("samphireplank_sends_total{priority=%q,result=%q}",
+		rec.kind.Priority, response.Result)).Inc()
+}
+
+func (e *Entry) serveMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; charset=utf-8")
+	e.metrics.set.WritePrometheus(ctx)
+	metrics.WriteProcessMetrics(ctx)
+}
--- /dev/null
+++ b/entry/outbox.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/link/linkpb"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// heartbeatPeriod is the longest time between two batches to an entry VM of the zone.
+const heartbeatPeriod = 250 * time.Millisecond
+
+// introductions is the number of batches to a peer that carry this VM's own entry, so that a peer that does not
+// know it from the platform's list learns it.
+const introductions = 3
+
+// outboxes holds one outbox for each entry VM of the zone.
+type outboxes struct {
+	entry *Entry
+	mu    sync.Mutex
+	boxes map[string]*outbox
+}
+
+// outbox collects messages for a peer while an exchange with it is in progress.
+type outbox struct {
+	peer   platform.VM
+	wake   chan struct{} // has room for one signal
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	services map[string]*linkpb.ServiceBatch
+	sent     int
+	lastSent time.Time
+}
+
+func newOutboxes(e *Entry) outboxes {
+	return outboxes{entry: e, boxes: make(map[string]*outbox)}
+}
+
+// set gives the entry VMs of the zone; outboxes of others are closed.
+func (o *outboxes) set(peers []platform.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	wanted := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		wanted[peer.ID] = true
+		if box, ok := o.boxes[peer.ID]; ok && box.peer.Incarnation == peer.Incarnation && box.peer.LinkAddress == peer.LinkAddress {
+			continue
+		}
+		o.open(peer)
+	}
+	for id, box := range o.boxes {
+		if !wanted[id] {
+			box.cancel()
+			delete(o.boxes, id)
+		}
+	}
+}
+
+// open starts the sender for a peer in place of an earlier incarnation's.
+func (o *outboxes) open(peer platform.VM) {
+	if earlier, ok := o.boxes[peer.ID]; ok {
+		earlier.cancel()
+	}
+	ctx, cancel := context.WithCancel(o.entry.ctx)
+	box := &outbox{peer: peer, wake: make(chan struct{}, 1), cancel: cancel, services: make(map[string]*linkpb.ServiceBatch)}
+	o.boxes[peer.ID] = box
+	o.entry.group.Go(func() error {
+		o.entry.sendBatches(ctx, box)
+		return nil
+	})
+}
+
+// add queues a message for a peer.
+func (o *outboxes) add(peer, service string, body dispatch.PeerBody) {
+	o.mu.Lock()
+	box, ok := o.boxes[peer]
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	box.add(service, body, o.entry.flowIndex())
+}
+
+func (b *outbox) add(service string, body dispatch.PeerBody, index *flowIndex) {
+	b.mu.Lock()
+	batch, ok := b.services[service]
+	if !ok {
+		batch = &linkpb.ServiceBatch{Service: service}
+		b.services[service] = batch
+	}
+	appendBody(batch, body, index)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the messages that have been added.
+func (b *outbox) take(now time.Time) []*linkpb.ServiceBatch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent++
+	b.lastSent = now
+	services := make([]*linkpb.ServiceBatch, 0, len(b.services))
+	for _, batch := range b.services {
+		services = append(services, batch)
+	}
+	clear(b.services)
+	return services
+}
+
+// sendBatches exchanges batches with one peer, one at a time, until ctx ends.
+func (e *Entry) sendBatches(ctx context.Context, box *outbox) {
+	heartbeat := time.NewTicker(heartbeatPeriod)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-box.wake:
+		case <-heartbeat.C:
+			if time.Since(box.lastSent) < heartbeatPeriod/2 {
+				continue
+			}
+		}
+		e.exchange(ctx, box)
+	}
+}
+
+// exchange sends one batch and handles the reply.
+func (e *Entry) exchange(ctx context.Context, box *outbox) {
+	services := box.take(time.Now())
+	batch := e.newBatch(services, carriesReport(services), box.sent <= introductions)
+	reply, err := e.links.Exchange(ctx, box.peer.LinkAddress, batch)
+	if err != nil {
+		e.metrics.exchangesFailed.Inc()
+		e.config.Log.Debug().Str("event", "exchange-failed").Str("peer", box.peer.ID).Err(err).Msg("exchange with an entry VM failed")
+		return
+	}
+	e.metrics.exchanges.Inc()
+	e.receiveBatch(reply, box.peer.ID, nil)
+}
+
+// carriesReport reports whether a batch is due to carry the report of this VM: it goes along with demand reports
+// and heartbeats, and not with each slot message.
+func carriesReport(services []*linkpb.ServiceBatch) bool {
+	for _, batch := range services {
+		if batch.Demand != nil {
+			return true
+		}
+	}
+	return len(services) == 0
+}
+
+// newBatch builds a batch of this VM.
+func (e *Entry) newBatch(services []*linkpb.ServiceBatch, report, introduce bool) *linkpb.Batch {
+	batch := &linkpb.Batch{From: e.config.VM, Incarnation: e.incarnation, Services: services}
+	if !report && !introduce {
+		return batch
+	}
+	now := time.Now()
+	r := &linkpb.Report{
+		TableHash: e.table.Hash(),
+		Changes:   vmMessages(e.table.Recent(now)),
+		Silent:    e.table.Silent(now),
+		Leaving:   e.stopping.Load(),
+	}
+	if f := e.force.Load(); f != nil {
+		r.Generation = f.record.Generation
+	}
+	if introduce {
+		r.Sender = vmMessage(e.selfState())
+	}
+	batch.Report = r
+	return batch
+}
+
+// selfState returns the list entry of this VM with its present state.
+func (e *Entry) selfState() platform.VM {
+	vm := e.self
+	if e.stopping.Load() {
+		vm.State = platform.StateLeaving
+	}
+	return vm
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/link/linkpb"
+	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/zone"
+)
+
+// Exchange takes a batch of an entry VM and returns the replies to it.
+func (e *Entry) Exchange(_ context.Context, batch *linkpb.Batch) (*linkpb.Batch, error) {
+	sender, known := e.table.Get(batch.From)
+	otherZone := known && sender.Zone != e.config.Zone
+	reply := e.newBatch(nil, batch.Report != nil && otherZone, !known)
+	e.receiveBatch(batch, batch.From, reply)
+	if otherZone {
+		reply.Services = e.summaryBatches()
+	}
+	return reply, nil
+}
+
+// receiveBatch handles a batch; replies for its sender go into reply, or into its outbox when reply is nil.
+func (e *Entry) receiveBatch(batch *linkpb.Batch, from string, reply *linkpb.Batch) {
+	if batch.From != from {
+		return
+	}
+	now := time.Now()
+	if batch.Report != nil {
+		e.receiveReport(now, batch)
+	}
+	if e.table.Heard(now, from, batch.Incarnation) != nil {
+		e.membershipOut.Store(true)
+	}
+	sender, known := e.table.Get(from)
+	if !known {
+		return
+	}
+	for _, services := range batch.Services {
+		if services.Summary != nil && sender.Zone != e.config.Zone {
+			e.receiveSummary(now, sender, services)
+		}
+		if sender.Zone == e.config.Zone {
+			e.receiveService(from, services, reply)
+		}
+	}
+}
+
+// receiveService hands the messages about one service to its core.
+func (e *Entry) receiveService(from string, batch *linkpb.ServiceBatch, reply *linkpb.Batch) {
+	s, ok := e.shardOf(batch.Service)
+	if !ok {
+		return
+	}
+	answer := &linkpb.ServiceBatch{Service: batch.Service}
+	for _, body := range bodies(batch, e.flowIndex()) {
+		m := dispatch.PeerMessage{From: from, Body: body}
+		if reply == nil {
+			e.update(s, m)
+			continue
+		}
+		e.updateFrom(s, m, answer)
+	}
+	if reply != nil && (len(answer.Slots) > 0 || answer.Demand != nil || len(answer.Ejections) > 0) {
+		reply.Services = append(reply.Services, answer)
+	}
+}
+
+// receiveReport merges what the sender knows of VMs and of the configuration.
+func (e *Entry) receiveReport(now time.Time, batch *linkpb.Batch) {
+	r := batch.Report
+	vms := parseVMs(r.Changes)
+	if r.Sender != nil && r.Sender.Id == batch.From {
+		vms = append(vms, parseVMs([]*linkpb.VM{r.Sender})...)
+	}
+	if r.Leaving {
+		if vm, ok := e.table.Get(batch.From); ok && vm.Incarnation == batch.Incarnation {
+			vm.State = platform.StateLeaving
+			vms = append(vms, vm)
+		}
+	}
+	if len(e.table.Merge(now, vms)) > 0 {
+		e.membershipOut.Store(true)
+	}
+	e.table.LearnSilent(now, batch.From, r.Silent)
+	if e.table.Diverged(now, batch.From, r.TableHash) {
+		e.fetchTable(batch.From)
+	}
+	if r.Generation > e.generation() {
+		e.fetchFromPeer(batch.From, r.Generation)
+	}
+}
+
+func (e *Entry) receiveSummary(now time.Time, sender platform.VM, batch *linkpb.ServiceBatch) {
+	e.table.Summarize(now, zone.Summary{
+		Zone: sender.Zone, VM: sender.ID, Service: batch.Service,
+		Slots: int(batch.Summary.Slots), Idle: int(batch.Summary.Idle), Queued: int(batch.Summary.Queued),
+	})
+}
+
+// fetchTable merges the whole membership table of a peer.
+func (e *Entry) fetchTable(peer string) {
+	vm, ok := e.table.Get(peer)
+	if !ok {
+		return
+	}
+	e.group.Go(func() error {
+		e.fetchTableFrom(vm.LinkAddress)
+		return nil
+	})
+}
+
+func (e *Entry) fetchTableFrom(address string) bool {
+	ctx, cancel := context.WithTimeout(e.ctx, peerStateTimeout)
+	defer cancel()
+	state, err := e.links.State(ctx, address, &linkpb.StateRequest{Table: true})
+	if err != nil {
+		return false
+	}
+	if len(e.table.Merge(time.Now(), parseVMs(state.Table))) > 0 {
+		e.membershipOut.Store(true)
+	}
+	return true
+}
+
+// State returns parts of the state for a peer that lacks them.
+func (e *Entry) State(_ context.Context, r *linkpb.StateRequest) (*linkpb.StateResponse, error) {
+	response := &linkpb.StateResponse{TableHash: e.table.Hash()}
+	if r.Table {
+		response.Table = vmMessages(e.table.All())
+	}
+	if r.Entries {
+		response.Entries = vmMessages(append(e.table.Known(), e.selfState()))
+	}
+	f := e.force.Load()
+	if f == nil {
+		return response, nil
+	}
+	return response, e.addConfiguration(f, r, response)
+}
+
+// addConfiguration adds the record, the set and the change that were asked for.
+func (e *Entry) addConfiguration(f *force, r *linkpb.StateRequest, response *linkpb.StateResponse) error {
+	var err error
+	if r.Record {
+		if response.Record, err = encodeRecord(f.record); err != nil {
+			return err
+		}
+	}
+	if r.Set == string(f.record.Digest) {
+		if response.Set, err = f.set.Encode(); err != nil {
+			return err
+		}
+	}
+	if f.previous != nil && r.ChangeTo == string(f.record.Digest) && r.ChangeFrom == string(f.previousDigest) {
+		response.Change = contract.Diff(f.previous, f.set).Encode()
+	}
+	return nil
+}
+
+// Forward runs a submission of another entry VM and returns its answer.
+func (e *Entry) Forward(ctx context.Context, r *linkpb.ForwardRequest) (*linkpb.Answer, error) {
+	s, err := parseSubmission(r.Submission)
+	if err != nil {
+		return nil, err
+	}
+	kind, err := e.checkSubmission(&s)
+	if err != nil {
+		return answerMessage(refusalOf(s.ID, err)), nil
+	}
+	rec, err := e.acceptForwarded(s, kind, r.OnBehalf)
+	if err != nil {
+		return answerMessage(job.Answer{ID: s.ID, Outcome: job.Unknown, Reason: err.Error()}), nil
+	}
+	return answerMessage(awaitRecord(ctx, rec, time.Until(s.Deadline)+answerGrace)), nil
+}
+
+// acceptForwarded starts a forwarded submission unless its id was used before.
+func (e *Entry) acceptForwarded(s job.Submission, kind contract.Kind, onBehalf bool) (*record, error) {
+	rec := newRecord(s, kind)
+	if onBehalf {
+		if !e.registry.acceptForeign(rec) {
+			return nil, errDuplicate
+		}
+		e.dispatch(rec, true)
+		return rec, nil
+	}
+	if !e.isHome(s.ID) {
+		return nil, fmt.Errorf("entry VM %q did not issue the id", e.config.VM)
+	}
+	earlier, err := e.registry.redeem(time.Now(), rec)
+	switch {
+	case errors.Is(err, errDuplicate):
+		return earlier, nil
+	case err != nil:
+		return nil, err
+	}
+	e.dispatch(rec, false)
+	return rec, nil
+}
+
+// Lookup returns the answer of an id whose home is this VM.
+func (e *Entry) Lookup(ctx context.Context, r *linkpb.LookupRequest) (*linkpb.Answer, error) {
+	id, err := job.ParseID(r.Id)
+	if err != nil {
+		return nil, err
+	}
+	rec, ok := e.registry.find(id)
+	if !ok {
+		return answerMessage(job.Answer{ID: id, Outcome: job.Unknown, Reason: errUnknownJob.Error()}), nil
+	}
+	const longest = uint64(time.Minute / time.Millisecond)
+	wait := time.Duration(min(r.WaitMilliseconds, longest)) * time.Millisecond
+	return answerMessage(awaitRecord(ctx, rec, wait)), nil
+}
+
+// Cancel of the link shares its name with the callers' Cancel; peerHandler tells them apart.
+func (h peerHandler) Cancel(_ context.Context, r *linkpb.CancelRequest) (*linkpb.Answer, error) {
+	id, err := job.ParseID(r.Id)
+	if err != nil {
+		return nil, err
+	}
+	rec, ok := h.registry.find(id)
+	if !ok {
+		return answerMessage(job.Answer{ID: id, Outcome: job.Unknown, Reason: errUnknownJob.Error()}), nil
+	}
+	h.cancelRecord(rec)
+	return answerMessage(rec.current()), nil
+}
+
+// peerHandler is the Entry as other entry VMs see it.
+type peerHandler struct{ *Entry }
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Status is the answer of GET /v1/status.
+type Status struct {
+	VM          string          `json:"vm"`
+	Zone        string          `json:"zone"`
+	Incarnation uint64          `json:"incarnation"`
+	Ready       bool            `json:"ready"`
+	Reason      string          `json:"reason,omitempty"` // why it is not ready
+	Generation  uint64          `json:"generation"`
+	Digest      string          `json:"digest"`
+	Peers       []platform.VM   `json:"peers"` // live entry VMs of the zone that are heard from
+	Silent      []string        `json:"silent"`
+	Services    []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is the state of one service on an entry VM.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	dispatch.Status
+}
+
+// Status returns the present state.
+func (e *Entry) Status() Status {
+	status := Status{
+		VM:          e.config.VM,
+		Zone:        e.config.Zone,
+		Incarnation: e.incarnation,
+		Peers:       e.table.Peers(),
+	}
+	for _, vm := range e.table.Known() {
+		if !contains(status.Peers, vm.ID) {
+			status.Silent = append(status.Silent, vm.ID)
+		}
+	}
+	if err := e.ready(); err != nil {
+		status.Reason = err.Error()
+	}
+	status.Ready = status.Reason == ""
+	if f := e.force.Load(); f != nil {
+		status.Generation = f.record.Generation
+		status.Digest = string(f.record.Digest)
+	}
+	for _, s := range e.allShards() {
+		s.mu.Lock()
+		status.Services = append(status.Services, ServiceStatus{Service: s.service, Status: s.core.Status()})
+		s.mu.Unlock()
+	}
+	sort.Slice(status.Services, func(i, j int) bool { return status.Services[i].Service < status.Services[j].Service })
+	return status
+}
+
+func contains(vms []platform.VM, id string) bool {
+	for _, vm := range vms {
+		if vm.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) serveStatus(ctx *fasthttp.RequestCtx) {
+	body, err := json.Marshal(e.Status())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/entry/submit.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"samphireplank.example/samphireplank/caller"
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/link"
+	"samphireplank.example/samphireplank/link/linkpb"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// unconfiguredRetryAfter is the time to return given while no configuration is in force.
+const unconfiguredRetryAfter = 2 * time.Second
+
+// Tickets mints ids for later submissions.
+func (e *Entry) Tickets(count int) ([]job.ID, error) {
+	now := time.Now()
+	ids := make([]job.ID, 0, count)
+	for range count {
+		id := e.mint()
+		if err := e.registry.addTicket(now, id); err != nil {
+			return nil, err
+		}
+		ids = append(ids, id)
+	}
+	return ids, nil
+}
+
+// Submit accepts a submission of a caller and returns its id.
+func (e *Entry) Submit(_ context.Context, s job.Submission) (job.ID, error) {
+	kind, err := e.checkSubmission(&s)
+	if err != nil {
+		return job.ID{}, err
+	}
+	if s.ID == (job.ID{}) {
+		s.ID = e.mint()
+		rec := newRecord(s, kind)
+		e.registry.accept(rec)
+		e.dispatch(rec, false)
+		return s.ID, nil
+	}
+	if e.isHome(s.ID) {
+		return s.ID, e.submitTicket(s, kind)
+	}
+	return s.ID, e.submitElsewhere(s, kind)
+}
+
+// checkSubmission checks kind, team and number of tasks and sets the deadline.
+func (e *Entry) checkSubmission(s *job.Submission) (contract.Kind, error) {
+	f := e.force.Load()
+	if f == nil {
+		return contract.Kind{}, &caller.NotRunError{Reason: "no configuration is in force", RetryAfter: unconfiguredRetryAfter}
+	}
+	kind, ok := f.kinds[s.Kind]
+	if !ok {
+		return kind, &caller.RequestError{Reason: fmt.Sprintf("kind %q does not exist", s.Kind)}
+	}
+	if _, ok := f.teams[s.Team]; !ok {
+		return kind, &caller.RequestError{Reason: fmt.Sprintf("team %q does not exist", s.Team)}
+	}
+	if len(s.Bodies) == 0 || len(s.Bodies) > kind.MaxTasks {
+		return kind, &caller.RequestError{
+			Reason:   fmt.Sprintf("kind %q takes 1 to %d tasks, not %d", s.Kind, kind.MaxTasks, len(s.Bodies)),
+			TooLarge: len(s.Bodies) > kind.MaxTasks,
+		}
+	}
+	latest := time.Now().Add(kind.Deadline)
+	if s.Deadline.IsZero() || s.Deadline.After(latest) {
+		s.Deadline = latest
+	}
+	return kind, nil
+}
+
+// refusalOf returns the answer that stands for an error of checkSubmission.
+func refusalOf(id job.ID, err error) job.Answer {
+	answer := job.Answer{ID: id, Outcome: job.NotRun, Reason: err.Error()}
+	var refused *caller.NotRunError
+	if errors.As(err, &refused) {
+		answer.RetryAfter = refused.RetryAfter
+	}
+	return answer
+}
+
+// submitTicket runs a submission under a ticket of this VM, unless the ticket was used before.
+func (e *Entry) submitTicket(s job.Submission, kind contract.Kind) error {
+	rec := newRecord(s, kind)
+	_, err := e.registry.redeem(time.Now(), rec)
+	switch {
+	case errors.Is(err, errDuplicate):
+		return nil // the caller gets the answer of the first submission
+	case err != nil:
+		e.answerUnknown(rec, err.Error())
+		return nil
+	}
+	e.dispatch(rec, false)
+	return nil
+}
+
+// answerUnknown records a submission of which nobody can know whether it ran.
+func (e *Entry) answerUnknown(rec *record, reason string) {
+	e.registry.accept(rec)
+	e.complete(rec, job.Answer{ID: rec.submission.ID, Outcome: job.Unknown, Reason: reason})
+}
+
+// dispatch hands an accepted submission to the core of its service.
+func (e *Entry) dispatch(rec *record, forwarded bool) {
+	s, ok := e.shardOf(rec.kind.Service)
+	if !ok {
+		e.complete(rec, job.Answer{
+			ID: rec.submission.ID, Outcome: job.NotRun, RetryAfter: unconfiguredRetryAfter,
+			Reason: fmt.Sprintf("service %q is not set up yet", rec.kind.Service),
+		})
+		return
+	}
+	e.update(s, dispatch.Submit{
+		Job:       rec.submission.ID,
+		Kind:      rec.submission.Kind,
+		Team:      rec.submission.Team,
+		Tasks:     rec.tasks,
+		Deadline:  rec.submission.Deadline,
+		Forwarded: forwarded,
+	})
+}
+
+// submitElsewhere forwards a submission to the home of its ticket. Without a reachable home only idempotent
+// kinds are run here, because nobody else can know whether an earlier submission ran.
+func (e *Entry) submitElsewhere(s job.Submission, kind contract.Kind) error {
+	rec := newRecord(s, kind)
+	if !e.registry.acceptForeign(rec) {
+		return nil
+	}
+	e.group.Go(func() error {
+		answer, reached := e.forwardHome(rec)
+		switch {
+		case reached:
+			e.complete(rec, answer)
+		case kind.Idempotent:
+			e.dispatch(rec, false)
+		default:
+			e.complete(rec, answer)
+		}
+		return nil
+	})
+	return nil
+}
+
+// forwardHome sends a submission to the home of its id; reached is false when no byte reached it.
+func (e *Entry) forwardHome(rec *record) (answer job.Answer, reached bool) {
+	id := rec.submission.ID
+	home, ok := e.table.Get(id.VM)
+	if !ok || home.Incarnation != id.Incarnation || home.State == platform.StateGone {
+		reason := fmt.Sprintf("the entry VM %q that issued the id is gone", id.VM)
+		return job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}, false
+	}
+	return e.forward(home, rec, false)
+}
+
+// forward sends a submission to an entry VM and returns its answer, which is Unknown when none came.
+func (e *Entry) forward(to platform.VM, rec *record, onBehalf bool) (answer job.Answer, reached bool) {
+	id := rec.submission.ID
+	ctx, cancel := context.WithDeadline(e.ctx, rec.submission.Deadline.Add(answerGrace))
+	defer cancel()
+	reply, err := e.links.Forward(ctx, to.LinkAddress, &linkpb.ForwardRequest{
+		From:       e.config.VM,
+		Submission: submissionMessage(rec),
+		OnBehalf:   onBehalf,
+	})
+	if err == nil {
+		answer, err = parseAnswer(reply)
+		if err == nil && answer.ID == id {
+			return answer, true
+		}
+		err = fmt.Errorf("invalid answer: %w", errors.Join(err, errWrongID))
+	}
+	e.config.Log.Warn().Str("event", "forward-failed").Str("job", id.String()).Str("to", to.ID).Err(err).
+		Msg("could not forward the submission")
+	reason := fmt.Sprintf("the entry VM %q gave no answer", to.ID)
+	var failed *link.Error
+	reached = !errors.As(err, &failed) || failed.Sent
+	return job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}, reached
+}
+
+var errWrongID = errors.New("the answer has the id of another submission")
+
+// answerGrace is the time beyond a job's deadline in which its answer may still arrive from another entry VM.
+const answerGrace = time.Second
+
+// finish answers a submission, or offers it to another zone when this one has no slots for it.
+func (e *Entry) finish(s *shard, effect dispatch.Finish) {
+	rec, ok := e.registry.find(effect.Job)
+	if !ok {
+		return
+	}
+	answer := answerOf(effect)
+	if effect.Overflow {
+		if other, ok := e.table.BestZone(time.Now(), s.service, rec.tasks); ok {
+			e.group.Go(func() error {
+				e.overflow(rec, other, answer)
+				return nil
+			})
+			return
+		}
+	}
+	e.complete(rec, answer)
+}
+
+// overflow offers a submission to another zone and falls back to the refusal of this one.
+func (e *Entry) overflow(rec *record, other platform.VM, refusal job.Answer) {
+	answer, reached := e.forward(other, rec, true)
+	switch {
+	case !reached:
+		e.table.Unreachable(time.Now(), other.ID)
+		e.complete(rec, refusal)
+	case answer.Outcome == job.NotRun:
+		e.table.Refused(time.Now(), other.Zone)
+		e.metrics.forwardsRefused.Inc()
+		e.complete(rec, refusal)
+	default:
+		e.table.Accepted(other.Zone)
+		e.metrics.forwards.Inc()
+		e.complete(rec, answer)
+	}
+}
+
+// complete gives a submission its answer and wakes its callers.
+func (e *Entry) complete(rec *record, answer job.Answer) {
+	if !rec.finish(answer) {
+		return
+	}
+	now := time.Now()
+	e.registry.answered(now, rec)
+	e.metrics.jobEnded(rec, answer.Outcome, now)
+	if answer.Outcome != job.Complete {
+		e.config.Log.Debug().Str("event", "job-not-complete").Str("job", answer.ID.String()).
+			Str("outcome", answer.Outcome.String()).Str("reason", answer.Reason).Msg("job was answered without results")
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -65,6 +65,7 @@
 	rules   *rules
 	flows   map[Flow]*flow
 	sorted  []*flow   // all flows by Flow.Compare
+	queued  int       // tasks of all flows
 	active  []*flow   // flows with queued tasks, in no particular order
 	levels  []float64 // of the active flows; contiguous because every decision scans it
 	jobs    map[job.ID]*entry
@@ -201,6 +202,9 @@
 	return out
 }
 
+// Queued returns the number of queued tasks of all flows.
+func (q *Queue) Queued() int { return q.queued }
+
 // QueuedAhead returns the number of queued tasks that compete with a new job of the flow for the same slots.
 func (q *Queue) QueuedAhead(name Flow) int {
 	rank := q.rules.rank(name.Priority)
@@ -232,6 +236,7 @@
 	if count == 0 {
 		return
 	}
+	q.queued += count
 	f.queued += count
 	f.class.queued += count
 	for _, l := range f.limits {
