--- a/endpoint/client_conn.go
+++ b/endpoint/client_conn.go
@@ -22,6 +22,7 @@
 // Errors of an answer that can't be used.
 var (
 	errUnframed    = errors.New("answer has neither a content length nor chunks, so its end is not certain")
+	errMalformed   = errors.New("answer doesn't start with a status line")
 	errInterim     = errors.New("too many interim answers")
 	errTimeout     = errors.New("no answer within the timeout")
 	errNotAnswered = errors.New("connection closed before an answer")
@@ -113,6 +114,9 @@
 
 func (c *conn) readHeader(header *fasthttp.ResponseHeader) error {
 	for range maxInterim {
+		if err := c.checkStart(); err != nil {
+			return err
+		}
 		if err := header.Read(c.reader); err != nil {
 			return err
 		}
@@ -123,6 +127,19 @@
 	return errInterim
 }
 
+// checkStart refuses what fasthttp would let pass: it reads status 000 as 200 and skips blank lines before an answer.
+func (c *conn) checkStart() error {
+	start, err := c.reader.Peek(len("HTTP/1.1 200"))
+	if err != nil {
+		return err
+	}
+	version, status := string(start[:9]), start[9]
+	if (version != "HTTP/1.1 " && version != "HTTP/1.0 ") || status < '1' || status > '9' {
+		return errMalformed
+	}
+	return nil
+}
+
 func describe(err error) error {
 	var timeout interface{ Timeout() bool }
 	switch {
