--- a/link/client.go
+++ b/link/client.go
@@ -20,6 +20,10 @@
 	DefaultCallTimeout     = 35 * time.Second // above the longest deadline of a job
 )
 
+// ExchangeOverhead is an upper bound of the bytes that HTTP/2 adds to a batch and an empty answer on an open connection,
+// without TCP and IP; a sender that keeps to a byte budget adds it to the size of each batch.
+const ExchangeOverhead = 50
+
 // A connection without a frame from the peer for the ping interval is pinged, and closed when the ping isn't answered
 // in the same time. After a partition, TCP alone would wait for its next retransmission, up to a minute. Connections
 // that carry submissions wait longer, since closing one makes the submissions on it unknown.
@@ -40,9 +44,11 @@
 // Client calls peers over two connections each: one for Exchange, so that large submissions don't delay it, and one
 // for the other calls.
 type Client struct {
-	config ClientConfig
-	mu     sync.RWMutex
-	peers  map[string]*peer // by address
+	config      ClientConfig
+	controlPing time.Duration
+	callPing    time.Duration
+	mu          sync.RWMutex
+	peers       map[string]*peer // by address
 }
 
 // peer holds the connections to one entry VM.
@@ -83,7 +89,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Client{config: config, peers: make(map[string]*peer)}
+	return &Client{config: config, controlPing: controlPing, callPing: callPing, peers: make(map[string]*peer)}
 }
 
 func setDefault[T int | time.Duration](field *T, value T) {
@@ -146,7 +152,7 @@
 }
 
 func (c *Client) newPeer(address string) *peer {
-	p := &peer{control: c.transport(controlPing), calls: c.transport(callPing)}
+	p := &peer{control: c.transport(c.controlPing), calls: c.transport(c.callPing)}
 	p.exchange = c.linkClient(p.control, address)
 	p.call = c.linkClient(p.calls, address)
 	return p
--- /dev/null
+++ b/link/fault_test.go
@@ -0,0 +1,147 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/link/linkpb"
+)
+
+// partition makes the connections that it dials lose all bytes while it is cut.
+type partition struct{ cut atomic.Bool }
+
+func (p *partition) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.cut.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: c, partition: p}, nil
+}
+
+// cutConn stays dead once a byte was lost, as a connection of which TCP has yet to send something again.
+type cutConn struct {
+	net.Conn
+	partition *partition
+	dead      atomic.Bool
+}
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	if c.partition.cut.Load() || c.dead.Load() {
+		c.dead.Store(true)
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a peer that stays unreachable long after a partition ended, because its old connection is still used.
+func TestExchangeRecoversFromAPartition(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, &fakeHandler{})
+	p := &partition{}
+	c := testClient(t, ClientConfig{Dial: p.dial, ExchangeTimeout: 50 * time.Millisecond})
+	c.controlPing = 20 * time.Millisecond
+	_, err := c.Exchange(t.Context(), address, idleReport())
+	is.NoErr(err)
+	p.cut.Store(true)
+	_, err = c.Exchange(t.Context(), address, idleReport())
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.Sent)
+	p.cut.Store(false)
+	for err != nil {
+		_, err = c.Exchange(t.Context(), address, idleReport())
+	}
+}
+
+// Guards against a dial that outlives the call, and a call that is held to be sent although no connection was open.
+func TestCallDuringAPartitionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	p := &partition{}
+	p.cut.Store(true)
+	c := testClient(t, ClientConfig{Dial: p.dial, CallTimeout: 20 * time.Millisecond})
+	_, err := c.Forward(t.Context(), "127.0.0.1:1", testForward())
+	var failed *Error
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Sent, false)
+}
+
+// Guards against a stop that cuts off forwards in progress.
+func TestShutdownAnswersForwards(t *testing.T) {
+	is := is.New(t)
+	asked, release := make(chan struct{}), make(chan struct{})
+	h := &fakeHandler{forward: func(context.Context, *linkpb.ForwardRequest) (*linkpb.Answer, error) {
+		close(asked)
+		<-release
+		return &linkpb.Answer{Outcome: "complete"}, nil
+	}}
+	server, address := startServer(t, h)
+	c := testClient(t, ClientConfig{})
+	var group sync.WaitGroup
+	defer group.Wait()
+	outcome := make(chan string, 1)
+	group.Go(func() {
+		answer, err := c.Forward(t.Context(), address, testForward())
+		if err != nil {
+			outcome <- err.Error()
+			return
+		}
+		outcome <- answer.GetOutcome()
+	})
+	<-asked
+	stopped := make(chan error, 1)
+	group.Go(func() { stopped <- server.Shutdown(context.Background()) })
+	for {
+		probe, err := net.Dial("tcp", address)
+		if err != nil {
+			break
+		}
+		_ = probe.Close()
+	}
+	close(release)
+	is.Equal(<-outcome, "complete")
+	is.NoErr(<-stopped)
+}
+
+// Guards against a message beyond the bound that is taken in parts or not reported.
+func TestTooLargeMessages(t *testing.T) {
+	is := is.New(t)
+	h := &fakeHandler{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(ServerConfig{Handler: h, MaxMessage: 1000})
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	defer group.Wait()
+	defer func() { _ = server.Close() }()
+	_, err = testClient(t, ClientConfig{}).Forward(t.Context(), listener.Addr().String(), testForward(make([]byte, 2000)))
+	is.Equal(connect.CodeOf(err), connect.CodeResourceExhausted)
+	is.Equal(h.forwards.Load(), int32(0))
+	_, address := startServer(t, h)
+	_, err = testClient(t, ClientConfig{MaxMessage: 1000}).Forward(t.Context(), address, testForward(make([]byte, 2000)))
+	is.Equal(connect.CodeOf(err), connect.CodeResourceExhausted)
+}
+
+// Guards against connections to a peer that is gone staying open.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, &fakeHandler{})
+	c := testClient(t, ClientConfig{})
+	_, err := c.Exchange(t.Context(), address, idleReport())
+	is.NoErr(err)
+	c.Forget(address)
+	is.Equal(len(c.peers), 0)
+	_, err = c.Exchange(t.Context(), address, idleReport())
+	is.NoErr(err)
+}
