Report a timed-out call to a peer as a timeout also when the peer noticed it first

Change: the error code deadline_exceeded counts as context.DeadlineExceeded. The busy report of the byte measurement uses the present slot messages.

--- a/link/bytes_test.go
+++ b/link/bytes_test.go
@@ -59,8 +59,17 @@
 		demand.Running = append(demand.Running, flow)
 	}
 	batch.Services = []*linkpb.ServiceBatch{{
-		Service: "blank-sorting", Renew: &linkpb.Renew{LastLoan: 123456}, Want: &linkpb.Want{Slots: 12}, Demand: demand,
-		Lend: &linkpb.Lend{Loans: []*linkpb.Loan{{Id: 123457, Endpoint: "executor-17"}, {Id: 123458, Endpoint: "executor-23"}}},
+		Service: "blank-sorting", Demand: demand,
+		Slots: []*linkpb.SlotMessage{
+			{Body: &linkpb.SlotMessage_Renew{Renew: &linkpb.Renew{
+				Epoch: 1764826164123 << 16, Sent: 3600000, Through: 123456, Held: 12, Sum: 1481472,
+			}}},
+			{Body: &linkpb.SlotMessage_Want{Want: &linkpb.Want{Sent: 3600000, Count: 12}}},
+			{Body: &linkpb.SlotMessage_Lend{Lend: &linkpb.Lend{
+				Epoch: 1764826164123 << 16, Wanted: 3600000, First: 123457,
+				Groups: []*linkpb.Group{{Endpoint: "executor-17", Count: 1}, {Endpoint: "executor-23", Count: 1}},
+			}}},
+		},
 	}}
 	return batch
 }
--- a/link/client.go
+++ b/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -130,11 +131,19 @@
 	sent := &sentMark{}
 	answer, err := call(context.WithValue(ctx, sentKey{}, sent), request)
 	if err != nil {
-		return nil, &Error{Address: address, Call: name, Sent: sent.get(), Err: err}
+		return nil, &Error{Address: address, Call: name, Sent: sent.get(), Err: withDeadline(err)}
 	}
 	return answer, nil
 }
 
+// withDeadline marks an error as a timeout also when the peer, which is told the timeout, noticed it first.
+func withDeadline(err error) error {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Join(err, context.DeadlineExceeded)
+	}
+	return err
+}
+
 func (c *Client) peer(address string) *peer {
 	c.mu.RLock()
 	p := c.peers[address]
