--- a/load/exchange.go
+++ b/load/exchange.go
@@ -23,6 +23,9 @@
 	partial    bool // complete without the result of every task
 	crossed    bool // holds a result or the id of another request
 	elapsed    time.Duration
+
+	contradictory bool          // another answer to the same job says otherwise
+	sinceCancel   time.Duration // from the cancellation to the answer
 }
 
 // Outcomes of jobs that got no valid answer.
@@ -66,7 +69,7 @@
 		body = append(strconv.AppendQuote(append(body, `"id":`...), id), ',')
 	}
 	body = strconv.AppendQuote(append(body, `"kind":`...), a.mix.Kind)
-	body = strconv.AppendQuote(append(body, `,"team":`...), a.mix.Team)
+	body = strconv.AppendQuote(append(body, `,"team":`...), a.team)
 	body = strconv.AppendInt(append(body, `,"deadline-ms":`...), a.mix.Deadline.Milliseconds(), 10)
 	body = append(body, `,"tasks":[`...)
 	for i, d := range a.runTimes {
@@ -81,7 +84,7 @@
 
 // check reads the answer to a job and says whether it is whole and belongs to the job.
 func check(status int, data []byte, a arrival, seed uint64, id string) result {
-	if status == fasthttp.StatusBadRequest || status == fasthttp.StatusRequestEntityTooLarge {
+	if status/100 == 4 {
 		return result{outcome: outcomeInvalid, reason: excerpt(data)}
 	}
 	var got answer
--- a/load/record.go
+++ b/load/record.go
@@ -20,13 +20,17 @@
 type recorder struct {
 	profile *Profile
 
-	mu       sync.Mutex
-	groups   map[groupKey]*group
-	jobs     map[string]jobRecord // by job id
-	lateness *hdrhistogram.Histogram
-	partial  int
-	crossed  int
-	examples map[string]string // a reason for each outcome but complete
+	mu            sync.Mutex
+	groups        map[groupKey]*group
+	jobs          map[string]jobRecord // by job id
+	lateness      *hdrhistogram.Histogram
+	partial       int
+	crossed       int
+	contradictory int
+	cancels       int // requests to cancel
+	cancelErrors  int
+	sinceCancel   *hdrhistogram.Histogram // from a cancellation to the answer of its job
+	examples      map[string]string       // a reason for each outcome but complete
 }
 
 // groupKey names the jobs that are measured together.
@@ -56,7 +60,8 @@
 func newRecorder(p *Profile) *recorder {
 	return &recorder{
 		profile: p, groups: map[groupKey]*group{}, jobs: map[string]jobRecord{}, examples: map[string]string{},
-		lateness: hdrhistogram.New(1, mostMicroseconds, histogramDigits),
+		lateness:    hdrhistogram.New(1, mostMicroseconds, histogramDigits),
+		sinceCancel: hdrhistogram.New(1, mostMicroseconds, histogramDigits),
 	}
 }
 
@@ -68,7 +73,10 @@
 }
 
 // late records how long after its time the tool began with a job.
-func (r *recorder) late(d time.Duration) {
+func (r *recorder) late(a arrival, d time.Duration) {
+	if a.at < r.profile.WarmUp {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	record(r.lateness, d.Microseconds(), mostMicroseconds)
@@ -79,11 +87,21 @@
 	_ = h.RecordValue(min(max(value, 1), most))
 }
 
-func (r *recorder) add(a arrival, got result) {
+// cancel records a request to cancel and whether it was answered.
+func (r *recorder) cancel(answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancels++
+	if !answered {
+		r.cancelErrors++
+	}
+}
+
+func (r *recorder) add(a arrival, got result, kind special) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if got.id != "" {
-		r.jobs[got.id] = jobRecord{outcome: got.outcome, tasks: len(a.runTimes), idempotent: a.mix.Idempotent, cancelled: a.cancel}
+		r.jobs[got.id] = jobRecord{outcome: got.outcome, tasks: len(a.runTimes), idempotent: a.mix.Idempotent, cancelled: kind == cancelled}
 	}
 	if got.partial {
 		r.partial++
@@ -91,6 +109,12 @@
 	if got.crossed {
 		r.crossed++
 	}
+	if got.contradictory {
+		r.contradictory++
+	}
+	if kind == cancelled {
+		record(r.sinceCancel, got.sinceCancel.Microseconds(), mostMicroseconds)
+	}
 	if got.reason != "" && r.examples[got.outcome] == "" {
 		r.examples[got.outcome] = got.reason
 	}
@@ -98,6 +122,9 @@
 		return
 	}
 	key := groupKey{class: a.mix.Class, phase: r.phase(a.at)}
+	if kind != plain {
+		key.phase = string(kind)
+	}
 	if r.groups[key] == nil {
 		r.groups[key] = newGroup()
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -22,7 +22,8 @@
 	Checks    Checks            `json:"checks"`
 	Work      *Work             `json:"work,omitempty"` // missing without stand-ins
 	ToolLagMS Quantiles         `json:"tool-lag-ms"`    // from the scheduled time to the begin of a submission
-	Examples  map[string]string `json:"examples,omitempty"`
+	Cancels   *Cancels          `json:"cancels,omitempty"`
+	Examples  map[string]string `json:"examples,omitempty"` // a reason for each outcome
 }
 
 // ClassReport is the part of a Report about one class in one phase.
@@ -38,6 +39,13 @@
 	Slowdown   Quantiles      `json:"slowdown"` // response time over ideal response time
 }
 
+// Cancels are the cancellations of a run.
+type Cancels struct {
+	Sent     int       `json:"sent"`
+	Errors   int       `json:"errors"`    // requests that were refused or not answered
+	AnswerMS Quantiles `json:"answer-ms"` // from the cancellation to the answer of the job
+}
+
 // Quantiles summarize a histogram.
 type Quantiles struct {
 	P50 float64 `json:"p50"`
@@ -50,7 +58,8 @@
 type Checks struct {
 	Partial           int `json:"partial-answers"`
 	Crossed           int `json:"crossed-answers"`
-	StartsExtra       int `json:"starts-over-one"` // of tasks of kinds that are not idempotent
+	Contradictory     int `json:"contradictory-answers"` // two answers to one job that can't both be true
+	StartsExtra       int `json:"starts-over-one"`       // of tasks of kinds that are not idempotent
 	NotRunStarted     int `json:"not-run-but-started"`
 	CompleteUnstarted int `json:"complete-but-not-started"`
 }
@@ -78,7 +87,10 @@
 	report := &Report{
 		Profile: r.profile.Name, Seed: r.profile.Seed, Seconds: elapsed.Seconds(), Slots: r.profile.Slots,
 		TaskRate: r.profile.taskRate(), ToolLagMS: quantiles(rec.lateness, 1000), Examples: rec.examples,
-		Checks: Checks{Partial: rec.partial, Crossed: rec.crossed},
+		Checks: Checks{Partial: rec.partial, Crossed: rec.crossed, Contradictory: rec.contradictory},
+	}
+	if rec.cancels > 0 {
+		report.Cancels = &Cancels{Sent: rec.cancels, Errors: rec.cancelErrors, AnswerMS: quantiles(rec.sinceCancel, 1000)}
 	}
 	for _, key := range rec.keys() {
 		report.Classes = append(report.Classes, rec.groups[key].report(key))
@@ -202,14 +214,18 @@
 
 func (report *Report) writeChecks(b *strings.Builder) {
 	c := report.Checks
-	fmt.Fprintf(b, "\nchecks: %d partial, %d crossed, %d starts over one, %d not-run but started, %d complete but not started\n",
-		c.Partial, c.Crossed, c.StartsExtra, c.NotRunStarted, c.CompleteUnstarted)
+	fmt.Fprintf(b, "\nchecks: %d partial, %d crossed, %d contradictory, %d starts over one, %d not-run but started, %d complete but not started\n",
+		c.Partial, c.Crossed, c.Contradictory, c.StartsExtra, c.NotRunStarted, c.CompleteUnstarted)
 	if w := report.Work; w != nil {
 		fmt.Fprintf(b, "endpoints: %d starts (%d retries), %d refusals, %d rejects, %.2f wasted messages per 1,000 tasks (%d starts by cancellation, %d unattributed)\n",
 			w.Starts, w.Retries, w.Refusals, w.Rejects, w.WastedPer1000, w.WastedCancelled, w.Unattributed)
 		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
 			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
 	}
+	if x := report.Cancels; x != nil {
+		fmt.Fprintf(b, "cancellations: %d sent, %d without success, answered after ms: p50 %.1f, p99 %.1f\n",
+			x.Sent, x.Errors, x.AnswerMS.P50, x.AnswerMS.P99)
+	}
 	l := report.ToolLagMS
 	fmt.Fprintf(b, "tool lag ms: p50 %.3f, p99 %.3f, max %.3f\n", l.P50, l.P99, l.Max)
 	for _, outcome := range sortedNames(report.Examples) {
--- a/load/run.go
+++ b/load/run.go
@@ -33,6 +33,9 @@
 	if err := r.judge.reset(); err != nil {
 		return nil, err
 	}
+	if err := r.prepare(); err != nil {
+		return nil, err
+	}
 	if err := r.offer(ctx); err != nil {
 		return nil, err
 	}
@@ -50,6 +53,8 @@
 	profile  *Profile
 	schedule *schedule
 	clients  []*fasthttp.HostClient
+	tickets  []*tickets // of each entry VM
+	waves    *waves
 	recorder *recorder
 	judge    *judge
 	start    time.Time
@@ -65,8 +70,11 @@
 		return nil, err
 	}
 	r := &runner{profile: cfg.Profile, schedule: s, recorder: newRecorder(cfg.Profile), judge: newJudge(cfg.StandIns)}
+	r.waves = newWaves()
 	for _, entry := range cfg.Entries {
-		r.clients = append(r.clients, newHTTPClient(entry))
+		client := newHTTPClient(entry)
+		r.clients = append(r.clients, client)
+		r.tickets = append(r.tickets, &tickets{client: client})
 	}
 	return r, nil
 }
@@ -94,6 +102,7 @@
 	// Fewer collections keep the tool's pauses out of the measured response times.
 	defer debug.SetGCPercent(debug.SetGCPercent(400))
 	r.start = time.Now()
+	r.startWaves(ctx)
 	for {
 		a, more := r.schedule.take()
 		if !more {
@@ -125,15 +134,6 @@
 	}
 }
 
-// submit sends one job and records its answer; times count from the scheduled time, so a late tool shows.
-func (r *runner) submit(a arrival) {
-	due := r.start.Add(a.at)
-	r.recorder.late(time.Since(due))
-	got := r.exchange(a.target, a, "", due.Add(a.mix.Deadline+answerGrace))
-	got.elapsed = time.Since(due)
-	r.recorder.add(a, got)
-}
-
 func (r *runner) exchange(target int, a arrival, id string, until time.Time) result {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -11,6 +11,7 @@
 	at       time.Duration // since the start of the load
 	index    uint64
 	mix      *Mix
+	team     string
 	runTimes []time.Duration
 	target   int // index of the entry VM
 	second   int // entry VM of a resubmission
@@ -147,6 +148,7 @@
 	for range first.mix.Tasks.draw(first.random) {
 		a.runTimes = append(a.runTimes, first.mix.RunTime.draw(first.random))
 	}
+	a.team = first.mix.Teams[first.random.IntN(len(first.mix.Teams))]
 	first.advance()
 	a.target, a.second = s.pick(), s.pick()
 	a.cancel = s.random.Float64() < s.profile.Cancel.Share
