--- a/load/exchange.go
+++ b/load/exchange.go
@@ -96,7 +96,8 @@
 		return result{outcome: outcomeMalformed, reason: fmt.Sprintf("status %d with outcome %q", status, got.Outcome)}
 	}
 	r := result{id: got.ID, outcome: got.Outcome, reason: got.Reason}
-	r.retryAfter = time.Duration(got.RetryAfterMS * float64(time.Millisecond))
+	// Bounded, since a larger number than a Duration holds has no defined conversion.
+	r.retryAfter = time.Duration(min(max(got.RetryAfterMS, 0), float64(time.Hour.Milliseconds())) * float64(time.Millisecond))
 	r.crossed = id != "" && got.ID != id
 	r.checkResults(outcome, got.Results, a, seed)
 	return r
--- a/load/judge.go
+++ b/load/judge.go
@@ -90,6 +90,16 @@
 	return total, nil
 }
 
+// sample returns the totals with their time; totals that can't be had are zero.
+func (j *judge) sample() (standInCounts, time.Time) {
+	now := time.Now()
+	counts, err := j.counts()
+	if err != nil {
+		return standInCounts{}, now
+	}
+	return counts, now
+}
+
 // tasks returns what all stand-ins together counted for each Task-Id.
 func (j *judge) tasks() (map[string]taskLine, error) {
 	tasks := map[string]taskLine{}
--- a/load/record.go
+++ b/load/record.go
@@ -27,7 +27,8 @@
 	partial       int
 	crossed       int
 	contradictory int
-	cancels       int // requests to cancel
+	floods        []float64 // utilisation in each flood
+	cancels       int       // requests to cancel
 	cancelErrors  int
 	sinceCancel   *hdrhistogram.Histogram // from a cancellation to the answer of its job
 	examples      map[string]string       // a reason for each outcome but complete
@@ -59,6 +60,7 @@
 
 func newRecorder(p *Profile) *recorder {
 	return &recorder{
+		floods:  make([]float64, len(p.Floods)),
 		profile: p, groups: map[groupKey]*group{}, jobs: map[string]jobRecord{}, examples: map[string]string{},
 		lateness:    hdrhistogram.New(1, mostMicroseconds, histogramDigits),
 		sinceCancel: hdrhistogram.New(1, mostMicroseconds, histogramDigits),
@@ -72,6 +74,15 @@
 	}
 }
 
+// flood records the utilisation in a flood between two samples of the counts.
+func (r *recorder) flood(i int, from, to standInCounts, elapsed time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if to.Slots > 0 {
+		r.floods[i] = (to.BusySeconds - from.BusySeconds) / (float64(to.Slots) * elapsed.Seconds())
+	}
+}
+
 // late records how long after its time the tool began with a job.
 func (r *recorder) late(a arrival, d time.Duration) {
 	if a.at < r.profile.WarmUp {
--- a/load/report.go
+++ b/load/report.go
@@ -66,18 +66,19 @@
 
 // Work is what the endpoint stand-ins counted.
 type Work struct {
-	Starts          int     `json:"starts"`
-	Retries         int     `json:"starts-over-one-of-idempotent-kinds"`
-	Refusals        int     `json:"refusals"`
-	Rejects         int     `json:"rejects"`
-	Useful          int     `json:"useful-starts"` // one for each task of a complete answer
-	WastedPer1000   float64 `json:"wasted-per-1000-tasks"`
-	WastedCancelled int     `json:"wasted-by-cancellation"` // part of the wasted starts
-	Unattributed    int     `json:"unattributed-starts"`    // of jobs whose id no caller got
-	Utilisation     float64 `json:"utilisation"`            // busy slot time over slot time while load was offered
-	UsefulBusy      float64 `json:"useful-busy-share"`      // of the busy slot time
-	Probes          uint64  `json:"probes"`
-	MostRunning     int     `json:"most-running"` // at one endpoint
+	Starts          int       `json:"starts"`
+	Retries         int       `json:"starts-over-one-of-idempotent-kinds"`
+	Refusals        int       `json:"refusals"`
+	Rejects         int       `json:"rejects"`
+	Useful          int       `json:"useful-starts"` // one for each task of a complete answer
+	WastedPer1000   float64   `json:"wasted-per-1000-tasks"`
+	WastedCancelled int       `json:"wasted-by-cancellation"` // part of the wasted starts
+	Unattributed    int       `json:"unattributed-starts"`    // of jobs whose id no caller got
+	Utilisation     float64   `json:"utilisation"`            // busy slot time over slot time while load was offered
+	UsefulBusy      float64   `json:"useful-busy-share"`      // of the busy slot time
+	FloodBusy       []float64 `json:"utilisation-in-floods"`  // of each flood of the profile
+	Probes          uint64    `json:"probes"`
+	MostRunning     int       `json:"most-running"` // at one endpoint
 }
 
 func (r *runner) report(offered standInCounts, elapsed time.Duration) (*Report, error) {
@@ -103,6 +104,7 @@
 		return nil, err
 	}
 	report.addWork(tasks, rec.jobs, offered, elapsed)
+	report.Work.FloodBusy = rec.floods
 	return report, nil
 }
 
@@ -196,16 +198,16 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "profile %s, seed %d: %.1f s, %d slots, %.0f task starts/s offered without floods\n\n",
 		report.Profile, report.Seed, report.Seconds, report.Slots, report.TaskRate)
-	fmt.Fprintf(&b, "%-14s %-6s %8s %8s %9s | %26s | %26s\n", "class", "phase", "jobs", "tasks", "on-time",
+	fmt.Fprintf(&b, "%-14s %-11s %8s %8s %9s | %26s | %26s\n", "class", "phase", "jobs", "tasks", "on-time",
 		"response ms p50 p90 p99", "slowdown p50 p90 p99")
 	for _, c := range report.Classes {
-		fmt.Fprintf(&b, "%-14s %-6s %8d %8d %8.2f%% | %8.1f %8.1f %8.1f | %8.3f %8.3f %8.3f\n", c.Class, c.Phase, c.Jobs, c.Tasks,
+		fmt.Fprintf(&b, "%-14s %-11s %8d %8d %8.2f%% | %8.1f %8.1f %8.1f | %8.3f %8.3f %8.3f\n", c.Class, c.Phase, c.Jobs, c.Tasks,
 			percent(c.OnTime, c.Jobs), c.ResponseMS.P50, c.ResponseMS.P90, c.ResponseMS.P99,
 			c.Slowdown.P50, c.Slowdown.P90, c.Slowdown.P99)
 	}
 	b.WriteString("\noutcomes\n")
 	for _, c := range report.Classes {
-		fmt.Fprintf(&b, "%-14s %-6s %s, %d with retry-after\n", c.Class, c.Phase, outcomeText(c.Outcomes), c.RetryAfter)
+		fmt.Fprintf(&b, "%-14s %-11s %s, %d with retry-after\n", c.Class, c.Phase, outcomeText(c.Outcomes), c.RetryAfter)
 	}
 	report.writeChecks(&b)
 	_, err := io.WriteString(w, b.String())
@@ -222,6 +224,9 @@
 		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
 			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
 	}
+	for i, share := range report.floods() {
+		fmt.Fprintf(b, "utilisation in flood %d: %.1f%% of slot time\n", i+1, share*100)
+	}
 	if x := report.Cancels; x != nil {
 		fmt.Fprintf(b, "cancellations: %d sent, %d without success, answered after ms: p50 %.1f, p99 %.1f\n",
 			x.Sent, x.Errors, x.AnswerMS.P50, x.AnswerMS.P99)
@@ -233,6 +238,13 @@
 	}
 }
 
+func (report *Report) floods() []float64 {
+	if report.Work == nil {
+		return nil
+	}
+	return report.Work.FloodBusy
+}
+
 func percent(part, whole int) float64 {
 	if whole == 0 {
 		return 0
--- a/load/run.go
+++ b/load/run.go
@@ -103,6 +103,7 @@
 	defer debug.SetGCPercent(debug.SetGCPercent(400))
 	r.start = time.Now()
 	r.startWaves(ctx)
+	r.startSamples(ctx)
 	for {
 		a, more := r.schedule.take()
 		if !more {
@@ -119,6 +120,24 @@
 	return sleepUntil(ctx, r.start.Add(r.profile.Duration))
 }
 
+// startSamples measures the utilisation of the endpoints in each flood.
+func (r *runner) startSamples(ctx context.Context) {
+	for i, f := range r.profile.Floods {
+		r.group.Go(func() error {
+			if err := sleepUntil(ctx, r.start.Add(f.From)); err != nil {
+				return err
+			}
+			from, began := r.judge.sample()
+			if err := sleepUntil(ctx, r.start.Add(min(f.To, r.profile.Duration))); err != nil {
+				return err
+			}
+			to, ended := r.judge.sample()
+			r.recorder.flood(i, from, to, ended.Sub(began))
+			return nil
+		})
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) error {
 	d := time.Until(at)
 	if d <= 0 {
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -1,9 +1,11 @@
 package load
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,9 +22,21 @@
 	endpoints []*standin.Endpoint
 	client    fasthttp.Client
 	next      atomic.Uint64
-	jobs      atomic.Uint64
+	minted    atomic.Uint64
 	alter     func(*answer) // changes answers on their way to the caller
 	repeat    bool          // sends each task two times
+	forget    bool          // runs a job again that comes again
+	lie       bool          // says that a cancelled job did not run and runs it
+
+	mu   sync.Mutex
+	jobs map[string]*fakeJob
+}
+
+type fakeJob struct {
+	cancelled chan struct{}
+	once      sync.Once
+	run       sync.Once
+	answer    answer
 }
 
 func serveOn(t testing.TB, handler fasthttp.RequestHandler) string {
@@ -42,6 +56,37 @@
 }
 
 func (f *fakeEntry) serve(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) == "/v1/tickets":
+		ids := make([]string, 100)
+		for i := range ids {
+			ids[i] = f.mint()
+		}
+		data, _ := json.Marshal(map[string][]string{"ids": ids})
+		ctx.SetBody(data)
+	case ctx.IsDelete():
+		j := f.job(strings.TrimPrefix(string(ctx.Path()), "/v1/jobs/"))
+		j.once.Do(func() { close(j.cancelled) })
+	default:
+		f.serveJob(ctx)
+	}
+}
+
+func (f *fakeEntry) mint() string { return "a.entry.1." + strconv.FormatUint(f.minted.Add(1), 36) }
+
+func (f *fakeEntry) job(id string) *fakeJob {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.jobs == nil {
+		f.jobs = map[string]*fakeJob{}
+	}
+	if f.jobs[id] == nil || f.forget {
+		f.jobs[id] = &fakeJob{cancelled: make(chan struct{})}
+	}
+	return f.jobs[id]
+}
+
+func (f *fakeEntry) serveJob(ctx *fasthttp.RequestCtx) {
 	var body struct {
 		ID    string            `json:"id"`
 		Tasks []json.RawMessage `json:"tasks"`
@@ -50,16 +95,38 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	a := answer{ID: body.ID, Outcome: "complete", Results: make([]json.RawMessage, len(body.Tasks))}
-	if a.ID == "" {
-		a.ID = "a.entry.1." + strconv.FormatUint(f.jobs.Add(1), 36)
+	if body.ID == "" {
+		body.ID = f.mint()
+	}
+	j := f.job(body.ID)
+	j.run.Do(func() { j.answer = f.run(body.ID, body.Tasks, j.cancelled) })
+	if j.answer.Outcome == "not-run" {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	data, _ := json.Marshal(j.answer)
+	ctx.SetBody(data)
+}
+
+// run starts the tasks after a time in which the job can be cancelled.
+func (f *fakeEntry) run(id string, tasks []json.RawMessage, cancelled <-chan struct{}) answer {
+	a := answer{ID: id, Outcome: "complete", Results: make([]json.RawMessage, len(tasks))}
+	select {
+	case <-cancelled:
+		a = answer{ID: id, Outcome: "not-run", Reason: "cancelled"}
+		if !f.lie {
+			return a
+		}
+	case <-time.After(20 * time.Millisecond):
 	}
 	var group sync.WaitGroup
-	for i, task := range body.Tasks {
+	for i, task := range tasks {
 		group.Go(func() {
-			a.Results[i] = f.send(a.ID+"/"+strconv.Itoa(i), task)
+			got := f.send(id+"/"+strconv.Itoa(i), task)
 			if f.repeat {
-				a.Results[i] = f.send(a.ID+"/"+strconv.Itoa(i), task)
+				got = f.send(id+"/"+strconv.Itoa(i), task)
+			}
+			if a.Outcome == "complete" {
+				a.Results[i] = got
 			}
 		})
 	}
@@ -67,8 +134,7 @@
 	if f.alter != nil {
 		f.alter(&a)
 	}
-	data, _ := json.Marshal(a)
-	ctx.SetBody(data)
+	return a
 }
 
 func (f *fakeEntry) send(id string, task []byte) json.RawMessage {
@@ -116,19 +182,40 @@
 
 // Guards against a tool that reports violations where there are none, or none where there are some.
 func TestRunFindsViolations(t *testing.T) {
+	wave := func(p *Profile) { p.Waves = []Wave{{At: 200 * time.Millisecond, Class: "c"}} }
+	cancel := func(p *Profile) { p.Cancel = Share{Share: 0.5, After: 5 * time.Millisecond} }
+	resubmit := func(p *Profile) { p.Resubmit = Share{Share: 0.5, After: 30 * time.Millisecond} }
 	cases := map[string]struct {
-		entry *fakeEntry
-		bad   func(Checks) bool
+		entry  *fakeEntry
+		change func(*Profile)
+		found  func(*Report) bool
 	}{
-		"correct":  {entry: &fakeEntry{}, bad: func(c Checks) bool { return c != (Checks{}) }},
-		"repeated": {entry: &fakeEntry{repeat: true}, bad: func(c Checks) bool { return c.StartsExtra == 0 }},
+		"correct":  {entry: &fakeEntry{}, found: func(r *Report) bool { return r.Violation() == nil }},
+		"repeated": {entry: &fakeEntry{repeat: true}, found: func(r *Report) bool { return r.Checks.StartsExtra > 0 }},
 		"partial": {
 			entry: &fakeEntry{alter: func(a *answer) { a.Results = a.Results[1:] }},
-			bad:   func(c Checks) bool { return c.Partial == 0 },
+			found: func(r *Report) bool { return r.Checks.Partial > 0 },
 		},
 		"crossed": {
 			entry: &fakeEntry{alter: func(a *answer) { a.Results[0] = json.RawMessage(`{"token":"t0"}`) }},
-			bad:   func(c Checks) bool { return c.Crossed == 0 },
+			found: func(r *Report) bool { return r.Checks.Crossed > 0 },
+		},
+		"cancelled": {entry: &fakeEntry{}, change: cancel, found: func(r *Report) bool {
+			return r.Violation() == nil && r.Cancels.Sent > 10 && r.Cancels.Errors == 0 && r.Classes[1].Outcomes["not-run"] > 10
+		}},
+		"wave": {entry: &fakeEntry{}, change: wave, found: func(r *Report) bool {
+			return r.Violation() == nil && r.Cancels.Sent > 0 && r.Cancels.Errors == 0
+		}},
+		"cancelled and run": {
+			entry: &fakeEntry{lie: true}, change: cancel,
+			found: func(r *Report) bool { return r.Checks.NotRunStarted > 0 },
+		},
+		"resubmitted": {entry: &fakeEntry{}, change: resubmit, found: func(r *Report) bool {
+			return r.Violation() == nil && r.Classes[1].Phase == "resubmitted" && r.Classes[1].OnTime > 10
+		}},
+		"run again": {
+			entry: &fakeEntry{forget: true}, change: resubmit,
+			found: func(r *Report) bool { return r.Checks.StartsExtra > 0 },
 		},
 	}
 	for name, c := range cases {
@@ -136,11 +223,17 @@
 			is := is.New(t)
 			fleet := startFleet(t, 4, 1000)
 			c.entry.endpoints = fleet.Endpoints()
-			report, err := Run(t.Context(), Config{Profile: testProfile(), Entries: []string{serveOn(t, c.entry.serve)}, StandIns: []string{fleet.Admin()}})
+			p := testProfile()
+			if c.change != nil {
+				c.change(p)
+			}
+			report, err := Run(t.Context(), Config{Profile: p, Entries: []string{serveOn(t, c.entry.serve)}, StandIns: []string{fleet.Admin()}})
 			is.NoErr(err)
 			is.True(report.Work.Starts > 50)
-			if c.bad(report.Checks) {
-				t.Errorf("checks: %+v", report.Checks)
+			if !c.found(report) {
+				var text bytes.Buffer
+				is.NoErr(report.WriteText(&text))
+				t.Error(text.String())
 			}
 		})
 	}
