--- a/contract/check.go
+++ b/contract/check.go
@@ -22,7 +22,7 @@
 
 func (i item) title() string {
 	if name := i.name(); name != "" {
-		return i.schema.object + " " + name
+		return i.schema.object + " " + shorten(name)
 	}
 	return i.schema.object
 }
@@ -88,7 +88,7 @@
 		if first.file != "" {
 			reason = fmt.Sprintf("duplicate name, first used at %s:%d", first.file, first.line)
 		}
-		c.add(i.problem("name", name, reason, "each name once per object type"))
+		c.add(i.problem("name", shorten(name), reason, "each name once per object type"))
 	}
 }
 
@@ -113,7 +113,7 @@
 	if _, known := c.byName[f.refers][name]; name == "" || known {
 		return
 	}
-	c.add(i.problem(f.name, name, "dangling reference, no such "+f.refers, c.names(f.refers)))
+	c.add(i.problem(f.name, shorten(name), "dangling reference, no such "+f.refers, c.names(f.refers)))
 }
 
 // names lists the names of an object type, shortened for long lists.
@@ -162,7 +162,7 @@
 			continue
 		}
 		if circle := c.circle(limit.Name); circle != nil && slices.Min(circle) == limit.Name {
-			c.add(i.problem("parent", limit.Parent, "circular parents: "+strings.Join(circle, " -> "), "a limit that is not under this one"))
+			c.add(i.problem("parent", shorten(limit.Parent), "circular parents: "+shorten(strings.Join(circle, " -> ")), "a limit that is not under this one"))
 		}
 	}
 }
--- a/contract/problem.go
+++ b/contract/problem.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode"
 )
 
 // Problem is one reason why a set is refused, with the place where it was found.
@@ -39,7 +40,15 @@
 	if p.File != "" {
 		text = fmt.Sprintf("%s:%d: %s", p.File, p.Line, text)
 	}
-	return text
+	return strings.Map(visible, text)
+}
+
+// visible replaces characters that could alter what a terminal shows; names and fields come from files unquoted.
+func visible(r rune) rune {
+	if unicode.IsPrint(r) {
+		return r
+	}
+	return unicode.ReplacementChar
 }
 
 // quoted quotes a value unless the file already did so.
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -14,7 +14,7 @@
 const (
 	defaultCallTimeout   = 2 * time.Second
 	defaultSettleTimeout = 20 * time.Second
-	firstPause           = 50 * time.Millisecond
+	firstPause           = 10 * time.Millisecond
 	longestPause         = time.Second
 )
 
