--- a/cmd/samphireplank/connect.go
+++ b/cmd/samphireplank/connect.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -30,6 +29,6 @@
 	return e.connect(o.Platform, o.PlatformTimeout)
 }
 
-func connect([]string, time.Duration) (platformClient, error) {
-	return nil, errors.New("this build has no client for the platform")
+func connect(addresses []string, timeout time.Duration) (platformClient, error) {
+	return platform.NewClient(platform.ClientConfig{Addresses: addresses, Timeout: timeout}), nil
 }
