--- a/cmd/samphireplank/connect.go
+++ b/cmd/samphireplank/connect.go
@@ -29,6 +29,7 @@
 	return e.connect(o.Platform, o.PlatformTimeout)
 }
 
+// connect doesn't let long polls wait: commands read the present state only.
 func connect(addresses []string, timeout time.Duration) (platformClient, error) {
-	return platform.NewClient(platform.ClientConfig{Addresses: addresses, Timeout: timeout}), nil
+	return platform.NewClient(platform.ClientConfig{Addresses: addresses, Timeout: timeout, Wait: time.Millisecond}), nil
 }
--- a/publication/head.go
+++ b/publication/head.go
@@ -185,14 +185,18 @@
 	return head, value.Version, err
 }
 
-// WatchHead waits for a head with another version than the given one; it returns version 0 while there is none.
+// WatchHead waits until the head has another version than the given one and returns it with its version.
+// It returns a head of generation 0 with the given version when the wait ended first, and with version 0 while the
+// head does not exist.
 func WatchHead(ctx context.Context, store platform.Store, version uint64) (Head, uint64, error) {
 	value, err := store.Watch(ctx, HeadKey, version)
-	if errors.Is(err, platform.ErrNotFound) || err == nil && value.Version == 0 {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
 		return Head{}, 0, nil
-	}
-	if err != nil {
+	case err != nil:
 		return Head{}, 0, fmt.Errorf("watch head: %w", err)
+	case value.Version == 0, value.Version == version:
+		return Head{}, value.Version, nil
 	}
 	head, err := DecodeHead(value.Data)
 	return head, value.Version, err
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -96,6 +96,7 @@
 	version uint64
 	set     *contract.Set
 	next    Head
+	unclear bool       // the head may have been written
 	written []string   // keys written for it
 	stale   []staleKey // keys to delete after it
 }
@@ -184,15 +185,25 @@
 		if swapErr == nil || errors.Is(swapErr, platform.ErrValueTooLarge) {
 			return swapErr
 		}
+		a.unclear = a.unclear || !hadNoEffect(swapErr)
 		return p.settle(ctx, a, swapErr)
 	})
 	var race *RaceError
 	if err == nil || errors.As(err, &race) || errors.Is(err, platform.ErrValueTooLarge) {
 		return err
 	}
+	if !a.unclear {
+		return fmt.Errorf("write head: %w", err)
+	}
 	return &OutOfReachError{Record: a.next.Record, Err: err}
 }
 
+// hadNoEffect says whether a swap certainly changed nothing. The client joins the errors of several servers, so one
+// server without an effect proves nothing if another one is uncertain.
+func hadNoEffect(err error) bool {
+	return platform.HadNoEffect(err) && !errors.Is(err, platform.ErrUncertain)
+}
+
 // settle reads the head back after a swap without a clear answer.
 func (p *Publisher) settle(ctx context.Context, a *attempt, swapErr error) error {
 	head, version, err := ReadHead(ctx, p.config.Store)
--- a/publication/publish_test.go
+++ b/publication/publish_test.go
@@ -162,6 +162,22 @@
 	is.True(!errors.As(err, &outOfReach)) // the head was never written, so this one is certain
 }
 
+// Guards against sending an operator to look for a publication that certainly did not take effect.
+func TestPublishWithoutEffect(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(4)
+	publisher := New(Config{Store: store, Author: "mari", SettleTimeout: 300 * time.Millisecond})
+	store.set(faults{before: func(call, key string, _ uint64) {
+		if call == "swap" && key == HeadKey {
+			store.set(faults{refused: true})
+		}
+	}})
+	_, err := publisher.Publish(t.Context(), testSet(1000), "first")
+	var outOfReach *OutOfReachError
+	is.True(errors.Is(err, platform.ErrNoEffect))
+	is.True(!errors.As(err, &outOfReach))
+}
+
 // Guards against a publication on top of another state than the operator planned for.
 func TestPublishOnBase(t *testing.T) {
 	is := is.New(t)
@@ -237,6 +253,9 @@
 			return err
 		}
 		version = seen
+		if head.Generation == 0 {
+			continue
+		}
 		fetched, err := Fetch(ctx, store, set, head.Record)
 		if err != nil {
 			version = 0 // a stale read; the head is read again
--- a/publication/store_test.go
+++ b/publication/store_test.go
@@ -19,6 +19,7 @@
 	stale     float64                                // share of reads that return the version before
 	delay     time.Duration                          // of each call, at most
 	down      bool                                   // no call is answered
+	refused   bool                                   // no call reaches the store
 	before    func(call, key string, version uint64) // runs before each call
 }
 
@@ -60,6 +61,9 @@
 	if f.delay > 0 {
 		time.Sleep(time.Duration(share * float64(f.delay)))
 	}
+	if f.refused {
+		return platform.ErrNoEffect
+	}
 	if f.down {
 		return errStore
 	}
@@ -128,7 +132,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return value, nil
+			return platform.Value{Version: version}, nil
 		case <-time.After(time.Millisecond):
 		}
 	}
