--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -299,6 +299,26 @@
 	is.Equal(a.body, `{"ids":["tartu-a.entry-1.9.1","tartu-a.entry-1.9.2"]}`)
 }
 
+// Guards against a VM that gets work before it can run it, and hooks that aren't reached or take work's place.
+func TestHealthAndHooks(t *testing.T) {
+	is := is.New(t)
+	hook := func(text string) fasthttp.RequestHandler {
+		return func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(text) }
+	}
+	_, address := startServer(t, Config{
+		Dispatcher: &fakeDispatcher{}, Metrics: hook("m"), Status: hook("s"),
+		Ready: func() error { return errors.New("no configuration") },
+	})
+	ready := call(t, address, "GET", "/readyz", "")
+	is.Equal(ready.status, 503)
+	is.Equal(ready.body, "no configuration\n")
+	is.Equal(call(t, address, "GET", "/livez", "").status, 200)
+	is.Equal(call(t, address, "GET", "/metrics", "").body, "m")
+	is.Equal(call(t, address, "GET", "/v1/status", "").body, "s")
+	_, bare := startServer(t, Config{Dispatcher: &fakeDispatcher{}})
+	is.Equal(call(t, bare, "GET", "/metrics", "").status, 404)
+}
+
 func newContext(method, path string) *fasthttp.RequestCtx {
 	ctx := &fasthttp.RequestCtx{}
 	ctx.Request.Header.SetMethod(method)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -119,6 +119,9 @@
 
 // Probe reports whether the endpoint answers GET <path> with a complete 2xx answer within the timeout of ctx.
 func (c *Client) Probe(ctx context.Context, address, path string) bool {
+	if !plainPath(path) {
+		return false
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(fasthttp.MethodGet)
@@ -166,7 +169,7 @@
 var ErrInvalidRequest = errors.New("invalid request")
 
 func encode(request *fasthttp.Request, r Request) error {
-	if len(r.Path) == 0 || r.Path[0] != '/' || !plain(r.Path) || !plain(r.TaskID) || r.TaskID == "" {
+	if !plainPath(r.Path) || !plain(r.TaskID) || r.TaskID == "" {
 		return fmt.Errorf("%w: path %q, Task-Id %q", ErrInvalidRequest, r.Path, r.TaskID)
 	}
 	request.Header.SetMethod(fasthttp.MethodPost)
@@ -184,6 +187,8 @@
 	return nil
 }
 
+func plainPath(path string) bool { return path != "" && path[0] == '/' && plain(path) }
+
 // plain reports whether text is visible ASCII, so that it can't end a header line.
 func plain(text string) bool {
 	for i := 0; i < len(text); i++ {
