Divide the zone's slots by demand and refuse jobs that would miss their deadline

Cause: the thin path served flows by local shares only, admitted every job and retried without a budget. Change: dispatch computes the zone-wide max-min division every 50 ms from its own and its peers' demand, gives it to queue and ledger, and refuses a job early when its expected response exceeds its deadline. Ruled out: dividing anew for each submission, since one division costs up to 100 microseconds.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -4,19 +4,20 @@
 	"fmt"
 	"time"
 
+	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/queue"
 )
 
-// Times to return given with refusals that have no estimate of their own.
-const (
-	retryAfterNoEndpoint = 2 * time.Second
-	retryAfterFullQueue  = 500 * time.Millisecond
-)
+// retryAfterNoEndpoint is the time to return given while no endpoint is live.
+const retryAfterNoEndpoint = 2 * time.Second
+
+// meanTimeTasks is the number of admitted tasks over which the mean run time of a priority is taken.
+const meanTimeTasks = 256
 
 // submit admits a job or refuses it whole.
 func (c *Core) submit(now time.Time, m Submit) {
-	refusal, refused := c.admit(m)
+	refusal, refused := c.admit(now, m)
 	if refused {
 		refusal.Job = m.Job
 		refusal.Outcome = job.NotRun
@@ -30,6 +31,7 @@
 		c.emit(Finish{Job: m.Job, Outcome: job.Unknown, Reason: err.Error()})
 		return
 	}
+	c.observeAdmitted(kind, m.Tasks)
 	c.jobs[m.Job] = &jobState{
 		kind:     kind,
 		flow:     flow,
@@ -40,7 +42,7 @@
 }
 
 // admit returns the refusal of a job that cannot run here in time.
-func (c *Core) admit(m Submit) (refusal Finish, refused bool) {
+func (c *Core) admit(now time.Time, m Submit) (refusal Finish, refused bool) {
 	kind, ok := c.kinds[m.Kind]
 	if !ok {
 		return Finish{Reason: fmt.Sprintf("kind %q does not exist in service %q", m.Kind, c.config.Service)}, true
@@ -53,11 +55,51 @@
 	}
 	if len(c.endpoints) == 0 {
 		reason := fmt.Sprintf("no endpoint of service %q is live in this zone", c.config.Service)
-		return Finish{Reason: reason, RetryAfter: retryAfterNoEndpoint, Overflow: true}, true
+		return Finish{Reason: reason, RetryAfter: retryAfterNoEndpoint, Overflow: !m.Forwarded}, true
 	}
-	flow := queue.Flow{Priority: kind.Priority, Team: m.Team}
+	return c.admitInTime(now, m, queue.Flow{Priority: kind.Priority, Team: m.Team})
+}
+
+// admitInTime refuses a job for which the queue has no room, or that is expected to end after its deadline.
+func (c *Core) admitInTime(now time.Time, m Submit, flow queue.Flow) (refusal Finish, refused bool) {
+	load := c.load(m, flow)
 	if reason, full := c.queue.Full(flow, m.Tasks); full {
-		return Finish{Reason: reason, RetryAfter: retryAfterFullQueue, Overflow: true}, true
+		return Finish{Reason: reason, RetryAfter: load.Drain(m.Tasks), Overflow: !m.Forwarded}, true
+	}
+	expected := load.Expect()
+	left := m.Deadline.Sub(now)
+	if expected.Response <= left {
+		return Finish{}, false
+	}
+	reason := fmt.Sprintf("the expected response time of %v exceeds the %v left until the deadline",
+		expected.Response.Round(time.Millisecond), left.Round(time.Millisecond))
+	return Finish{Reason: reason, RetryAfter: expected.RetryAfter(left), Overflow: !m.Forwarded}, true
+}
+
+// load returns what a job meets in the queue.
+func (c *Core) load(m Submit, flow queue.Flow) Load {
+	runTime := c.estimates.RunTime(m.Kind)
+	load := Load{
+		Tasks:    m.Tasks,
+		RunTime:  runTime,
+		Ahead:    c.queue.QueuedAhead(flow),
+		MeanTime: runTime,
+		Slots:    c.entitled(flow, m.Tasks),
+		Idle:     c.idle(),
+	}
+	if mean, ok := c.meanTimes[flow.Priority]; ok {
+		load.MeanTime = time.Duration(mean * float64(time.Second))
+	}
+	return load
+}
+
+// observeAdmitted moves the mean run time of a priority by the tasks of an admitted job.
+func (c *Core) observeAdmitted(kind contract.Kind, tasks int) {
+	runTime := c.estimates.RunTime(kind.Name).Seconds()
+	mean, ok := c.meanTimes[kind.Priority]
+	if !ok {
+		c.meanTimes[kind.Priority] = runTime
+		return
 	}
-	return Finish{}, false
+	c.meanTimes[kind.Priority] = mean + (runTime-mean)*float64(tasks)/(meanTimeTasks+float64(tasks))
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -34,22 +35,28 @@
 	service contract.Service
 	kinds   map[string]contract.Kind
 	teams   map[string]contract.Team
+	limits  map[string]contract.Limit
 
-	queue    *queue.Queue
-	ledger   *slot.Ledger
-	health   *endpoint.Health
-	jobs     map[job.ID]*jobState
-	refusals refusalBackoff
+	priorityShares map[string]int // percent by name
+
+	queue     *queue.Queue
+	ledger    *slot.Ledger
+	health    *endpoint.Health
+	estimates *Estimates
+	meanTimes map[string]float64 // seconds, expected run time of admitted tasks by priority
+	retries   *RetryBudget
+	jobs      map[job.ID]*jobState
+	refusals  refusalBackoff
 
 	members   []Endpoint
 	endpoints map[string]Endpoint
 	zoneSlots int
 	peers     []string // other entry VMs of the zone, sorted
 	reports   map[string]peerReport
-	targets   []slot.Target
+	share     zoneShare
+	running   int // tasks in flight
 
-	reportedAt  time.Time
-	allocatedAt time.Time
+	reportedAt time.Time
 
 	out      []Effect
 	outgoing []slot.Outgoing
@@ -65,6 +72,9 @@
 		queue:     queue.New(queue.Config{Policy: config.QueuePolicy, Set: config.Set}),
 		ledger:    slot.New(slot.Config{VM: config.VM, Incarnation: config.Incarnation, Policy: config.SlotPolicy}),
 		health:    endpoint.NewHealth(endpoint.HealthConfig{}),
+		estimates: NewEstimates(),
+		meanTimes: make(map[string]float64),
+		retries:   NewRetryBudget(time.Time{}),
 		jobs:      make(map[job.ID]*jobState),
 		endpoints: make(map[string]Endpoint),
 		reports:   make(map[string]peerReport),
@@ -127,7 +137,16 @@
 	for _, team := range set.Teams {
 		c.teams[team.Name] = team
 	}
+	c.limits = make(map[string]contract.Limit)
+	for _, limit := range set.Limits {
+		c.limits[limit.Name] = limit
+	}
+	c.priorityShares = make(map[string]int)
+	for _, priority := range set.Priorities {
+		c.priorityShares[priority.Name] = priority.Share
+	}
 	c.queue.Configure(set)
+	c.estimates.Configure(slices.Collect(maps.Values(c.kinds)))
 }
 
 // tick lets time pass in every part.
@@ -136,8 +155,7 @@
 	c.releaseRefused(now)
 	c.actions = c.health.Tick(now, c.actions[:0])
 	c.applyActions(now)
-	if now.Sub(c.allocatedAt) >= allocationPeriod {
-		c.allocatedAt = now
+	if now.Sub(c.share.computedAt) >= allocationPeriod {
 		c.allocate(now)
 	}
 	c.requestSlots(now)
@@ -146,7 +164,7 @@
 
 // requestSlots lets the ledger borrow, return, renew and recall loans.
 func (c *Core) requestSlots(now time.Time) {
-	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.targets, c.outgoing[:0])
+	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.share.targets, c.outgoing[:0])
 	c.sendSlotMessages()
 }
 
@@ -185,16 +203,16 @@
 // Jobs returns the number of jobs that are not answered or have tasks in flight.
 func (c *Core) Jobs() int { return len(c.jobs) }
 
-// Load is the load of a service in the own zone.
-type Load struct {
+// ZoneLoad is the load of a service in the own zone.
+type ZoneLoad struct {
 	Slots   int
 	Running int
 	Queued  int
 }
 
 // ZoneLoad returns the load of the zone from this VM's and its peers' reports.
-func (c *Core) ZoneLoad(now time.Time) Load {
-	load := Load{Slots: c.zoneSlots}
+func (c *Core) ZoneLoad(now time.Time) ZoneLoad {
+	load := ZoneLoad{Slots: c.zoneSlots}
 	c.demands = c.queue.Demand(c.demands[:0])
 	load.add(c.demands)
 	for _, peer := range c.peers {
@@ -205,7 +223,7 @@
 	return load
 }
 
-func (l *Load) add(demands []queue.Demand) {
+func (l *ZoneLoad) add(demands []queue.Demand) {
 	for _, d := range demands {
 		l.Running += d.Running
 		l.Queued += d.Queued
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -63,6 +63,7 @@
 // forget drops an answered job whose last running task has ended.
 func (c *Core) forget(id job.ID, j *jobState) {
 	if j.answered && j.running == 0 {
+		c.queue.Remove(id)
 		delete(c.jobs, id)
 	}
 }
@@ -115,9 +116,13 @@
 // start emits the Start of a task on a slot.
 func (c *Core) start(now time.Time, task queue.Task, slotID uint64, endpointID string) {
 	j := c.jobs[task.Job]
+	c.running++
 	j.running++
 	j.started++
 	j.attempts[task.Index]++
+	if j.attempts[task.Index] == 1 {
+		c.retries.Started()
+	}
 	c.emit(Start{
 		Job:      task.Job,
 		Task:     task.Index,
@@ -137,13 +142,15 @@
 	if !ok {
 		return
 	}
+	c.running--
 	j.running--
-	c.queue.Done(j.flow)
 	c.settleSlot(now, m)
 	c.recordHealth(now, m)
 	switch m.Result {
 	case endpoint.Succeeded:
+		c.queue.Done(j.flow)
 		j.succeeded++
+		c.estimates.Observe(j.kind.Name, m.RunTime)
 	case endpoint.Refused, endpoint.NotSent:
 		j.started--
 		j.attempts[m.Task]--
@@ -161,6 +168,7 @@
 // requeue returns a task that no endpoint has started to the queue.
 func (c *Core) requeue(j *jobState, m TaskFinished) {
 	if j.answered || j.failure != job.Pending {
+		c.queue.Done(j.flow)
 		return
 	}
 	c.queue.Requeue(queue.Task{Job: m.Job, Flow: j.flow, Index: m.Task})
@@ -170,7 +178,7 @@
 func (c *Core) retry(now time.Time, j *jobState, m TaskFinished, outcome job.Outcome, reason string) {
 	allowed := j.kind.Idempotent && int(j.attempts[m.Task]) < j.kind.Attempts && now.Before(j.deadline) &&
 		!j.answered && j.failure == job.Pending
-	if allowed {
+	if allowed && c.retries.Take(now) {
 		c.requeue(j, m)
 		return
 	}
@@ -179,6 +187,7 @@
 
 // abandon fails a job for good and drops its tasks that were not started.
 func (c *Core) abandon(m TaskFinished, j *jobState, outcome job.Outcome, reason string) {
+	c.queue.Done(j.flow)
 	j.fail(outcome, reason)
 	c.queue.Remove(m.Job)
 }
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -78,14 +78,3 @@
 		}
 	}
 }
-
-// allocate tells the queue the slots of the zone and the demand of its other VMs.
-func (c *Core) allocate(now time.Time) {
-	var elsewhere []queue.Demand
-	for _, peer := range c.peers {
-		if report, ok := c.reports[peer]; ok && now.Sub(report.at) < reportLifetime {
-			elsewhere = append(elsewhere, report.demands...)
-		}
-	}
-	c.queue.SetZone(c.zoneSlots, elsewhere)
-}
