--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,13 @@
 // retryAfterNoEndpoint is the time to return given while no endpoint is live.
 const retryAfterNoEndpoint = 2 * time.Second
 
+// waitMargin is the part of the expected wait, one in so many, that an admitted job may have to wait longer.
+const waitMargin = 4
+
+// overtakenPerTask is the time in which later and smaller jobs may overtake a job, for each of its tasks; it is the
+// ageing of the queue.
+const overtakenPerTask = 20 * time.Millisecond
+
 // meanTimeTasks is the number of admitted tasks over which the mean run time of a priority is taken.
 const meanTimeTasks = 256
 
@@ -68,7 +75,11 @@
 	}
 	expected := load.Expect()
 	left := m.Deadline.Sub(now)
-	if expected.Response <= left {
+	margin := expected.Wait / waitMargin
+	if expected.Wait > 0 {
+		margin += time.Duration(m.Tasks) * overtakenPerTask
+	}
+	if expected.Response+margin <= left {
 		return Finish{}, false
 	}
 	reason := fmt.Sprintf("the expected response time of %v exceeds the %v left until the deadline",
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -131,9 +131,6 @@
 	q.addRunning(f, 1)
 	f.virtual += startCost * f.inverse()
 	q.relevel(f)
-	if e.waiting() == 0 {
-		q.expiry.remove(e)
-	}
 	return Task{Job: e.id, Flow: f.name, Index: index}, true
 }
 
@@ -153,9 +150,6 @@
 	f.putBack(e, task.Index)
 	q.addQueued(f, 1)
 	q.relevel(f)
-	if !e.deadline.IsZero() {
-		q.expiry.add(e, e.deadline)
-	}
 }
 
 // Done counts a running task of the flow as ended.
@@ -182,7 +176,7 @@
 	return waiting
 }
 
-// Expired removes the jobs with queued tasks whose deadline has passed and appends their ids to out.
+// Expired removes the jobs whose deadline has passed, with or without queued tasks, and appends their ids to out.
 func (q *Queue) Expired(now time.Time, out []job.ID) []job.ID {
 	q.advance(now)
 	for _, e := range q.expiry.expired(now) {
