Make slots survive lost messages, freezes and changes of owner

Cause: generated event orders found three ways to count a slot twice. A release that was repeated after a second change of owner ended the wait of the new owner, as did one that crossed another on the way, and one that was announced on behalf of an ownership that had never begun.

Weighed: acknowledging each handover. The count of occupied slots is a lease that lapses after a loan term, so a lost message delays and never loses; a number per change of owner tells old releases from new ones.

--- a/slot/borrow.go
+++ b/slot/borrow.go
@@ -52,7 +52,7 @@
 
 // pending is the number of slots that a peer may still lend in answer to a recent want.
 func (p *peer) pending(t int64) int {
-	if t-p.askedAt >= int64(wantRepeat) {
+	if t-p.askedAt >= int64(wantAnswer) {
 		return 0
 	}
 	return p.asked
@@ -68,7 +68,11 @@
 }
 
 func (l *Ledger) ask(t int64, p *peer, count int, out []Outgoing) []Outgoing {
-	p.asked, p.open, p.askedAt = count, count, t
+	p.asked = count
+	if p.open > 0 {
+		p.asked = 0 // the lender remembers the last want and answers this one only when it has slots
+	}
+	p.open, p.askedAt = count, t
 	return append(out, Outgoing{p.id, Want{Sent: stamp(t), Count: count}})
 }
 
@@ -209,6 +213,24 @@
 	l.filterLoans(p, func(held *loan) bool { return held.until <= t })
 }
 
+// returnWanted returns idle loans to a lender that is short of slots itself.
+func (l *Ledger) returnWanted(p *peer, count int, out []Outgoing) (int, []Outgoing) {
+	left := count
+	l.filterLoans(p, func(held *loan) bool {
+		if left == 0 || held.use >= 0 {
+			return false
+		}
+		left--
+		return true
+	})
+	if left == count {
+		return 0, out
+	}
+	out = append(out, Outgoing{p.id, Return{Epoch: p.epoch, Ranges: p.returns}})
+	p.returns = nil
+	return count - left, out
+}
+
 // returnIdle returns loans that are not needed and sends all returns.
 func (l *Ledger) returnIdle(t int64, out []Outgoing) []Outgoing {
 	for _, p := range l.peers {
--- /dev/null
+++ b/slot/fault_test.go
@@ -0,0 +1,228 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// demand queues tasks on a VM and reports how many run after d.
+func (z *testZone) demand(v *vm, tasks int, d time.Duration) int {
+	v.queued += tasks
+	z.dispatch(v)
+	z.run(d, nil)
+	return len(v.held)
+}
+
+// lose removes a VM from the views of the others.
+func (z *testZone) lose(lost *vm) {
+	z.alive, z.owners = nil, nil
+	for _, v := range z.vms {
+		if v != lost {
+			z.alive = append(z.alive, v.id)
+		}
+	}
+	z.owners = z.alive
+	for _, v := range z.vms {
+		if v != lost {
+			z.inform(v)
+		}
+	}
+}
+
+// A job on one VM must not wait while slots of its peers are idle, and few tasks must not share an endpoint.
+func TestOneExchangeReachesAllIdleSlots(t *testing.T) {
+	for _, vms := range []int{3, 5} {
+		is := is.New(t)
+		z := newTestZone(Config{}, vms, 15, 8, 1)
+		z.run(1100*time.Millisecond, nil)
+		is.Equal(z.demand(z.vms[0], 15/vms, 0), 15/vms)
+		for _, count := range z.inUse() {
+			is.Equal(count, 1)
+		}
+		is.Equal(z.demand(z.vms[0], 150, time.Millisecond), 120)
+		for z.vms[0].queued = 0; len(z.vms[0].held) > 0; {
+			z.finish(z.vms[0], 0)
+		}
+		z.run(100*time.Millisecond, nil)
+		is.Equal(z.vms[0].ledger.Counts().Borrowed, 0) // unused loans are returned after 50 ms
+		is.Equal(z.vms[1].ledger.Counts().Lent, 0)
+	}
+}
+
+// The slots of a killed VM must be in use again within 3 s: 1 s until it is lost and a loan term.
+func TestKilledOwner(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 3, 16, 8, 1)
+	z.run(1100*time.Millisecond, nil)
+	z.demand(z.vms[2], 20, 10*time.Millisecond)
+	killed := z.now
+	z.vms[2].dead, z.vms[2].held = true, nil
+	is.True(z.demand(z.vms[0], 200, time.Second) < 100) // its own slots aren't lent while it is thought alive
+	z.lose(z.vms[2])
+	for len(z.vms[0].held) < 128 && z.now.Sub(killed) < 3*time.Second {
+		z.run(10*time.Millisecond, nil)
+	}
+	t.Logf("all slots in use %v after the kill", z.now.Sub(killed))
+	is.Equal(len(z.vms[0].held), 128)
+}
+
+// A VM that wakes after its slots were taken over must not use them, and must hand over the tasks that still run.
+func TestFreeze(t *testing.T) {
+	cases := []struct {
+		name      string
+		length    time.Duration
+		takenOver bool
+		idle      int // own slots usable right after the peers have answered
+	}{
+		{"short", 600 * time.Millisecond, false, 40},
+		{"long and taken over", 3 * time.Second, true, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			z := newTestZone(Config{}, 3, 15, 8, 1)
+			z.run(1100*time.Millisecond, nil)
+			frozen := z.vms[0]
+			is.Equal(z.demand(frozen, 50, 10*time.Millisecond), 50) // 40 own slots and 10 loans
+			for range 10 {
+				z.finish(frozen, 0)
+			}
+			frozen.frozen = true
+			z.run(tc.length, nil)
+			if tc.takenOver {
+				z.lose(frozen)
+				z.run(2*time.Second, nil)
+			}
+			frozen.frozen = false
+			_, ok := frozen.ledger.Take(z.now)
+			is.True(!ok) // the first call after the freeze finds neither loans nor own slots
+			z.run(11*time.Millisecond, nil)
+			c := frozen.ledger.Counts()
+			is.Equal(c.InUse, 40)
+			is.Equal(c.Borrowed, 0)
+			is.Equal(c.Waiting == 0, !tc.takenOver)
+			z.run(time.Second, nil) // after a loan term without an answer the VM goes by its own view
+		})
+	}
+}
+
+// A flooded VM must give up slots to one below its target within a run time, and then loans must not move any more.
+func TestRecall(t *testing.T) {
+	for _, owner := range []int{0, 1, 2} {
+		is := is.New(t)
+		z := newTestZone(Config{}, 3, 12, 8, 1)
+		z.owners = []string{z.vms[owner].id}
+		for _, v := range z.vms {
+			z.inform(v)
+		}
+		z.run(1100*time.Millisecond, nil)
+		flood, late := z.vms[0], z.vms[1]
+		is.Equal(z.demand(flood, 1000, 20*time.Millisecond), 96)
+		z.step = func() { // tasks of 200 ms
+			for _, v := range z.vms {
+				if z.now.UnixNano()%int64(5*time.Millisecond) == 0 && len(v.held) > 0 {
+					for range max(1, len(v.held)/40) {
+						z.finish(v, 0)
+					}
+				}
+				v.queued = max(v.queued, 100)
+			}
+			z.vms[2].queued = 0
+		}
+		targets := []Target{{"entry-0", 48}, {"entry-1", 48}, {"entry-2", 0}}
+		late.queued = 1000
+		z.run(600*time.Millisecond, targets)
+		held := len(late.held)
+		is.True(held >= 48-7) // the hysteresis is an eighth of the target and one
+		z.kinds = map[string]traffic{}
+		z.run(time.Second, targets)
+		t.Logf("owner %d: held %d and %d; then in 1 s %v", owner, held, len(late.held), z.kinds)
+		is.True(len(late.held) >= held-1)
+		is.True(z.kinds["Return"].messages <= 2) // loans stay where they are
+	}
+}
+
+func TestWithheldAndUsable(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 2, 4, 8, 1)
+	z.run(1100*time.Millisecond, nil)
+	v, l := z.vms[0], z.vms[0].ledger
+	is.Equal(z.demand(v, 32, 10*time.Millisecond), 32)
+	for _, held := range v.held {
+		if held.Endpoint == endpointID(0) || held.Endpoint == endpointID(1) {
+			l.Withhold(z.now, held.ID)
+			l.Withhold(z.now, held.ID) // has no further effect
+		} else {
+			l.Release(z.now, held.ID)
+			l.Release(z.now, held.ID)
+		}
+	}
+	v.held = nil
+	is.Equal(l.Counts().Withheld, 16)
+	is.Equal(l.Counts().InUse, 0)
+	z.run(2*time.Second, nil) // a withheld loan is renewed
+	is.Equal(l.Counts().Withheld, 16)
+	is.Equal(z.demand(v, 32, 10*time.Millisecond), 16)
+	l.Restore(z.now, endpointID(1)) // a loan
+	is.Equal(z.demand(v, 0, 10*time.Millisecond), 24)
+	l.SetUsable(endpointID(0), 2)
+	l.Restore(z.now, endpointID(0))
+	is.Equal(z.demand(v, 0, 10*time.Millisecond), 26) // on trial
+	l.SetUsable(endpointID(0), 1<<30)
+	is.Equal(z.demand(v, 0, 10*time.Millisecond), 32)
+	l.SetUsable(endpointID(2), 0)
+	for v.queued = 0; len(v.held) > 0; {
+		z.finish(v, 0)
+	}
+	is.Equal(z.demand(z.vms[1], 32, 10*time.Millisecond), 24) // an ejected endpoint isn't lent
+}
+
+// A VM that stops must finish on borrowed slots, return them at once and end with nothing.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 3, 6, 8, 1)
+	z.run(1100*time.Millisecond, nil)
+	v := z.vms[0]
+	is.Equal(z.demand(v, 10, 10*time.Millisecond), 10)
+	v.ledger.Drain(z.now)
+	z.owners = z.owners[1:]
+	for _, other := range z.vms {
+		z.inform(other)
+	}
+	is.Equal(z.demand(v, 10, 30*time.Millisecond), 20)
+	is.Equal(v.ledger.Counts().Owned, 0)
+	is.True(!v.ledger.Drained())
+	for len(v.held) > 0 {
+		z.finish(v, 0)
+	}
+	z.run(20*time.Millisecond, nil)
+	is.True(v.ledger.Drained())
+	is.Equal(z.demand(z.vms[1], 48, 150*time.Millisecond), 48) // all slots at once
+}
+
+// The parts of all VMs must add up to the slots, and a lost VM's part must go to the others.
+func TestFixedShare(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{Policy: FixedShare}, 3, 10, 8, 1)
+	count := func() int {
+		sum := 0
+		for _, v := range z.vms {
+			sum += z.demand(v, 100, 0)
+		}
+		for _, n := range z.inUse() {
+			is.Equal(n, 8)
+		}
+		return sum
+	}
+	is.Equal(count(), 80)
+	for _, v := range z.vms {
+		for v.queued = 0; len(v.held) > 0; {
+			z.finish(v, 0)
+		}
+	}
+	z.lose(z.vms[2])
+	z.vms = z.vms[:2]
+	is.Equal(count(), 80)
+}
--- a/slot/handover.go
+++ b/slot/handover.go
@@ -18,6 +18,9 @@
 		l.acquire(t, n)
 	case !mine && n.mine:
 		l.giveUp(t, n)
+	case !mine && owner != n.owner:
+		n.announce = 0 // the owner to which this VM gave up the endpoint announces its own end
+		fallthrough
 	case !mine:
 		n.waiting = 0
 	}
@@ -32,6 +35,7 @@
 // acquire waits for the handover of the former owner, or for a loan term in which all loans of a lost one end.
 func (l *Ledger) acquire(t int64, n *node) {
 	n.lost = ""
+	n.announce = 0
 	if n.owner == "" {
 		return
 	}
@@ -47,7 +51,8 @@
 // giveUp announces to the new owner that this VM gives out no more slots, unless it hadn't begun to.
 func (l *Ledger) giveUp(t int64, n *node) {
 	if n.waiting == 0 {
-		n.announce = t + int64(releaseRepeat)
+		n.turn++
+		n.announce, n.told = t+int64(releaseRepeat), false
 	}
 	n.waiting, n.frozen = 0, false
 }
@@ -97,7 +102,14 @@
 			continue
 		}
 		n.announced, n.told = count, released
-		items = append(items, Occupied{Endpoint: n.id, Count: count, Released: released})
+		if released {
+			n.released = 0 // what others gave up to this VM is passed on
+		}
+		item := Occupied{Endpoint: n.id, Count: count}
+		if released {
+			item.Release = n.turn
+		}
+		items = append(items, item)
 	}
 	return items
 }
@@ -109,8 +121,8 @@
 		if n == nil || !n.occupy(p.id, item.Count, m.Sent, t+l.term) {
 			continue
 		}
-		if item.Released {
-			n.released = t
+		if item.Release > n.turn {
+			n.turn, n.released = item.Release, t
 			n.waiting, n.frozen = 0, false
 		}
 		l.update(n)
--- a/slot/ledger.go
+++ b/slot/ledger.go
@@ -36,8 +36,9 @@
 // The intervals of demand messages.
 const (
 	wantInterval   = 2 * time.Millisecond   // shortest time between two wants to one peer
-	wantRepeat     = 50 * time.Millisecond  // an unchanged want is repeated after this time
-	wantTerm       = 100 * time.Millisecond // a lender forgets a want after this time
+	wantAnswer     = 20 * time.Millisecond  // an answer is expected within this time
+	wantRepeat     = 100 * time.Millisecond // a want that the lender remembers is repeated after this time
+	wantTerm       = 250 * time.Millisecond // a lender forgets a want after this time
 	recallInterval = 50 * time.Millisecond  // shortest time between two recalls to one peer
 	recallTerm     = 200 * time.Millisecond // a borrower forgets a recall that isn't repeated
 	reportInterval = 100 * time.Millisecond // handovers are repeated this often
@@ -84,6 +85,7 @@
 
 	base  time.Time
 	last  int64 // latest time seen, in wall-clock nanoseconds that advance with the monotonic clock
+	wall  int64 // the wall clock then; it also advances while the VM is suspended
 	first int64 // time of the first endpoints
 
 	nodes  []*node // sorted by id
@@ -179,17 +181,17 @@
 
 // observe converts the time and detects a frozen clock.
 func (l *Ledger) observe(now time.Time) int64 {
+	wall := now.UnixNano()
 	if l.last == 0 {
-		l.base = now
-		l.last = now.UnixNano()
+		l.base, l.last, l.wall = now, wall, wall
 		return l.last
 	}
 	t := l.base.UnixNano() + int64(now.Sub(l.base))
-	if t-l.last > int64(l.config.FreezeLimit) {
-		l.last = t
-		l.freeze(t)
+	gap := max(t-l.last, wall-l.wall)
+	l.last, l.wall = max(l.last, t), wall
+	if gap > int64(l.config.FreezeLimit) {
+		l.freeze(l.last)
 	}
-	l.last = max(l.last, t)
 	return l.last
 }
 
--- a/slot/lend.go
+++ b/slot/lend.go
@@ -16,11 +16,15 @@
 	if stale || !p.live {
 		return out
 	}
+	repeated := p.want > 0
 	p.wantSent, p.want, p.wantUntil = m.Sent, m.Count, t+int64(wantTerm)
-	if m.Count == 0 {
+	returned, out := l.returnWanted(p, m.Count, out)
+	p.want -= returned
+	count := min(m.Count-returned, l.spare(p))
+	if m.Count == 0 || count == 0 && repeated {
 		return out
 	}
-	return l.lend(t, p, min(m.Count, l.spare(p)), out)
+	return l.lend(t, p, count, out)
 }
 
 // spare is the number of idle slots that no other VM below its target claims.
--- /dev/null
+++ b/slot/load_test.go
@@ -0,0 +1,198 @@
+package slot
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// load runs jobs of one task on a zone; tasks take 50 ms to 1 s.
+type load struct {
+	z         *testZone
+	split     []float64 // share of the tasks that each VM gets
+	rate      float64   // tasks per second
+	credit    []float64
+	arrivals  [][]time.Time // of the queued tasks of each VM
+	due       map[int64][]task
+	running   map[string]int
+	slowdowns []float64
+	refused   int // tasks that an endpoint's guard refused
+}
+
+type task struct {
+	vm   *vm
+	slot Slot
+}
+
+const (
+	meanRunTime = 525 * time.Millisecond
+	stepLength  = 500 * time.Microsecond
+)
+
+var splits = map[int][]float64{3: {0.7, 0.2, 0.1}, 5: {0.5, 0.2, 0.15, 0.1, 0.05}}
+
+func newLoad(policy Policy, vms, endpoints int, level float64) *load {
+	z := newTestZone(Config{Policy: policy}, vms, endpoints, 8, 7)
+	z.run(1100*time.Millisecond, nil)
+	l := &load{
+		z: z, split: splits[vms], rate: level * float64(endpoints*8) / meanRunTime.Seconds(),
+		credit: make([]float64, vms), arrivals: make([][]time.Time, vms),
+		due: map[int64][]task{}, running: map[string]int{},
+	}
+	z.step = l.step
+	return l
+}
+
+// step lets tasks end and arrive.
+func (l *load) step() {
+	now := l.z.now.UnixNano()
+	for _, t := range l.due[now] {
+		l.running[t.slot.Endpoint]--
+		t.vm.ledger.Release(l.z.now, t.slot.ID)
+		l.z.dispatch(t.vm)
+	}
+	delete(l.due, now)
+	for i, v := range l.z.vms {
+		l.credit[i] += l.rate * l.split[i] * stepLength.Seconds()
+		for ; l.credit[i] >= 1; l.credit[i]-- {
+			v.queued++
+			l.arrivals[i] = append(l.arrivals[i], l.z.now)
+		}
+		l.z.dispatch(v)
+		l.start(i, v)
+	}
+}
+
+// start begins the tasks that got a slot, unless the endpoint's guard refuses them.
+func (l *load) start(i int, v *vm) {
+	for _, held := range v.held {
+		if l.running[held.Endpoint] >= l.z.slots {
+			l.refused++
+			v.ledger.Release(l.z.now, held.ID)
+			v.queued++
+			continue
+		}
+		steps := 100 + l.z.random.Int64N(1900)
+		l.running[held.Endpoint]++
+		end := l.z.now.UnixNano() + steps*int64(stepLength)
+		l.due[end] = append(l.due[end], task{v, held})
+		wait := l.z.now.Sub(l.arrivals[i][0])
+		l.arrivals[i] = l.arrivals[i][1:]
+		l.slowdowns = append(l.slowdowns, 1+float64(wait)/float64(steps*int64(stepLength)))
+	}
+	v.held = v.held[:0]
+}
+
+// targets splits the slots by max-min over the demands of the VMs.
+func (l *load) targets() []Target {
+	var demands []float64
+	for _, v := range l.z.vms {
+		demands = append(demands, float64(v.ledger.Counts().InUse+v.queued))
+	}
+	var targets []Target
+	for i, slots := range maxMin(float64(l.z.endpoints*l.z.slots), demands) {
+		targets = append(targets, Target{VM: l.z.vms[i].id, Slots: slots})
+	}
+	return targets
+}
+
+func maxMin(total float64, demands []float64) []float64 {
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return int(demands[a] - demands[b]) })
+	shares := make([]float64, len(demands))
+	for i, at := range order {
+		shares[at] = min(demands[at], total/float64(len(order)-i))
+		total -= shares[at]
+	}
+	return shares
+}
+
+// run lets the load run and starts new counts.
+func (l *load) run(d time.Duration) {
+	l.z.kinds = map[string]traffic{}
+	l.slowdowns, l.refused = nil, 0
+	for passed := time.Duration(0); passed < d; passed += 100 * time.Millisecond {
+		l.z.run(100*time.Millisecond, l.targets())
+	}
+	slices.Sort(l.slowdowns)
+}
+
+func (l *load) slowdown(quantile float64) float64 {
+	if len(l.slowdowns) == 0 {
+		return 1
+	}
+	return l.slowdowns[int(quantile*float64(len(l.slowdowns)-1))]
+}
+
+// busy is the share of the slots in use.
+func (l *load) busy() float64 {
+	sum := 0
+	for _, count := range l.running {
+		sum += count
+	}
+	return float64(sum) / float64(l.z.endpoints*l.z.slots)
+}
+
+// bytes is the control traffic in bytes per second and VM.
+func (l *load) bytes(d time.Duration) float64 {
+	sum := 0
+	for _, t := range l.z.kinds {
+		sum += t.bytes
+	}
+	return float64(sum) / d.Seconds() / float64(len(l.z.vms))
+}
+
+func (l *load) kinds() string {
+	var names []string
+	for name, t := range l.z.kinds {
+		names = append(names, fmt.Sprintf("%s %d of %d bytes", name, t.messages, t.bytes/t.messages))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+// Control traffic must stay within 8 KB/s per VM and guards must not refuse, also when the balancer sends most work to
+// one VM or all are flooded.
+func TestControlTraffic(t *testing.T) {
+	for _, vms := range []int{3, 5} {
+		for _, endpoints := range []int{16, 48, 220} {
+			for _, level := range []float64{0, 0.3, 0.7, 0.9, 1.5} {
+				is := is.New(t)
+				l := newLoad(Loans, vms, endpoints, level)
+				l.run(3 * time.Second)
+				l.run(5 * time.Second)
+				bytes := l.bytes(5 * time.Second)
+				t.Logf("%d VMs, %d endpoints, load %.1f: %.0f bytes/s per VM; %s", vms, endpoints, level, bytes, l.kinds())
+				is.True(bytes < 8000)
+				is.True(level <= 1 || l.busy() > 0.95) // a flood keeps all endpoints busy
+				is.Equal(l.refused, 0)
+			}
+		}
+	}
+}
+
+// Loans must answer faster than fixed shares with an uneven split and cost fewer refusals than two choices.
+func TestPolicies(t *testing.T) {
+	is := is.New(t)
+	results := map[Policy]*load{}
+	for _, level := range []float64{0.7, 0.8} {
+		for i, name := range []string{"loans", "fixed-share", "two-choices"} {
+			l := newLoad(Policy(i), 3, 48, level)
+			l.run(3 * time.Second)
+			l.run(5 * time.Second)
+			results[Policy(i)] = l
+			t.Logf("load %.1f, %s: slowdown median %.3f, p99 %.3f; %d of %d tasks refused",
+				level, name, l.slowdown(0.5), l.slowdown(0.99), l.refused, len(l.slowdowns))
+		}
+		is.True(results[Loans].slowdown(0.99) <= 1.5)
+		is.True(results[Loans].slowdown(0.99) < results[FixedShare].slowdown(0.99))
+		is.True(results[Loans].refused < results[TwoChoices].refused)
+	}
+}
--- a/slot/message.go
+++ b/slot/message.go
@@ -85,7 +85,7 @@
 type Occupied struct {
 	Endpoint string
 	Count    int
-	Released bool // the sender was the owner and no longer gives out slots
+	Release  uint64 // the sender gave up the endpoint as the change of owner with this number; 0 if it wasn't the owner
 }
 
 // Resume asks peers after a frozen clock whether one of them has taken over endpoints.
--- a/slot/node.go
+++ b/slot/node.go
@@ -9,25 +9,27 @@
 
 // node is the state of one endpoint.
 type node struct {
-	id      string
-	owner   string
-	lost    string // owner that was lost when this VM took over
-	mine    bool
-	listed  bool
-	total   int // slots of the endpoint
-	slots   int // total, or the part of this VM with FixedShare
-	bound   int // tasks that health allows this VM at once
-	using   int // tasks of this VM in flight
-	own     int // tasks and withheld slots of this VM that no loan covers
-	lent    int
-	foreign []foreign // occupied by peers outside of loans, sorted by peer
-	waiting int64     // the slots are not used before this time; 0 if they are free to use
-	frozen  bool      // waiting because of a frozen clock
-
-	released  int64 // time at which the last owner gave up the endpoint
-	announce  int64 // this VM tells the new owner until then that it has given up the endpoint
-	announced int   // occupied slots in the last handover
-	told      bool  // the last handover said so
+	id       string
+	owner    string
+	lost     string // owner that was lost when this VM took over
+	mine     bool
+	listed   bool
+	total    int // slots of the endpoint
+	slots    int // total, or the part of this VM with FixedShare
+	bound    int // tasks that health allows this VM at once
+	using    int // tasks of this VM in flight
+	own      int // tasks and withheld slots of this VM that no loan covers
+	lent     int
+	withheld int       // slots whose task got no answer
+	foreign  []foreign // occupied by peers outside of loans, sorted by peer
+	waiting  int64     // the slots are not used before this time; 0 if they are free to use
+	frozen   bool      // waiting because of a frozen clock
+
+	turn      uint64 // number of changes of the owner, as far as known; a late release has a lower one
+	released  int64  // time at which the last owner gave up the endpoint
+	announce  int64  // this VM tells the new owner until then that it has given up the endpoint
+	announced int    // occupied slots in the last handover
+	told      bool   // the last handover said so
 
 	loans []*loan // idle loans; the last one was used last
 
@@ -114,6 +116,7 @@
 	for _, n := range l.nodes {
 		if !n.listed {
 			n.total, n.slots = 0, 0
+			l.restore(t, n)
 			l.setOwner(t, n, "")
 		}
 	}
@@ -124,7 +127,7 @@
 
 // startWait is the time before which a VM that has just started uses no slot, because its predecessor may have lent it.
 func (l *Ledger) startWait(t int64) int64 {
-	if l.livePeers() == 0 || t >= l.first+l.term {
+	if l.config.Policy != Loans || l.livePeers() == 0 || t >= l.first+l.term {
 		return 0
 	}
 	return l.first + l.term
--- a/slot/take.go
+++ b/slot/take.go
@@ -95,6 +95,7 @@
 	n, loan := u.node, u.loan
 	if u.withheld {
 		l.withheld--
+		n.withheld--
 	} else {
 		n.using--
 		l.inUse--
@@ -123,15 +124,21 @@
 	u.node.using--
 	l.inUse--
 	l.withheld++
+	u.node.withheld++
 	l.update(u.node)
 }
 
 // Restore makes the withheld slots of an endpoint usable again.
 func (l *Ledger) Restore(now time.Time, endpoint string) {
 	t := l.observe(now)
-	for i := range l.uses {
-		u := &l.uses[i]
-		if u.node != nil && u.withheld && u.node.id == endpoint {
+	if n := l.byID[endpoint]; n != nil {
+		l.restore(t, n)
+	}
+}
+
+func (l *Ledger) restore(t int64, n *node) {
+	for i := 0; n.withheld > 0 && i < len(l.uses); i++ {
+		if u := &l.uses[i]; u.node == n && u.withheld {
 			l.release(t, uint32(i), u)
 		}
 	}
--- a/slot/zone_test.go
+++ b/slot/zone_test.go
@@ -15,6 +15,7 @@
 	queued int
 	frozen bool
 	dead   bool
+	inform time.Time // it learns the present peers and owners then; zero if it knows them
 }
 
 // letter is a message on its way.
@@ -42,14 +43,18 @@
 	slots     int
 	alive     []string
 	owners    []string // eligible owners
-	messages  int
-	bytes     int
+	kinds     map[string]traffic
+	step      func() // work of a load test in each step
 }
 
+// traffic counts messages and their bytes.
+type traffic struct{ messages, bytes int }
+
 const linkDelay = 200 * time.Microsecond
 
 func newTestZone(config Config, vms, endpoints, slots int, seed uint64) *testZone {
-	z := &testZone{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), endpoints: endpoints, slots: slots}
+	z := &testZone{now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), endpoints: endpoints, slots: slots}
+	z.kinds = map[string]traffic{}
 	for i := range vms {
 		config.VM = fmt.Sprintf("entry-%d", i)
 		config.Incarnation = 1
@@ -65,6 +70,7 @@
 
 // inform tells a VM the present peers and owners.
 func (z *testZone) inform(v *vm) {
+	v.inform = time.Time{}
 	v.ledger.SetPeers(z.now, z.alive)
 	var capacities []Capacity
 	for e := range z.endpoints {
@@ -79,8 +85,8 @@
 // send puts messages on the link.
 func (z *testZone) send(from *vm, out []Outgoing) {
 	for _, o := range out {
-		z.messages++
-		z.bytes += size(o.Message)
+		kind := fmt.Sprintf("%T", o.Message)[len("slot."):]
+		z.kinds[kind] = traffic{z.kinds[kind].messages + 1, z.kinds[kind].bytes + size(o.Message)}
 		if z.random.Float64() < z.faults.lose {
 			continue
 		}
@@ -157,11 +163,17 @@
 	for end := z.now.Add(d); z.now.Before(end); {
 		z.now = z.now.Add(step)
 		z.deliver()
+		if z.step != nil {
+			z.step()
+		}
 		if z.now.UnixNano()%int64(10*time.Millisecond) != 0 {
 			continue
 		}
 		for _, v := range z.vms {
 			if !v.frozen && !v.dead {
+				if !v.inform.IsZero() && !z.now.Before(v.inform) {
+					z.inform(v)
+				}
 				z.send(v, v.ledger.Tick(z.now, v.queued, targets, nil))
 				z.dispatch(v)
 			}
