Bound the health part of reports

Cause: 70 ejected endpoints of 220 in every report are far more than the byte budget, and ejections occur by the rack.

Weighed: reporting changes only. A lost report would leave a peer without the ejection, so each change is repeated three times and then every 10 s, at most four entries in a report, those first that were reported least.

Change: Report is bounded; ejections come before owed answers. Benchmarks of Record and Tick.

Conclusion: the report of a failing rack stays small and reaches all peers.

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -120,6 +120,10 @@
 	answeredAt   time.Time // last answered probe
 	restore      bool      // an action is due
 	peerSilentAt time.Time // last time that a peer reported an unanswered task
+
+	shared    Phase // in the last report
+	shares    int   // reports since it changed
+	nextShare time.Time
 }
 
 // Health judges the endpoints of one service from the results of their tasks; it isn't safe for concurrent use.
@@ -287,6 +291,6 @@
 }
 
 func (s *state) enter(now time.Time, p phase) {
-	s.phase, s.changed, s.passed = p, now, 0
+	s.phase, s.changed, s.passed, s.shares = p, now, 0, 0
 	s.clearRuns()
 }
--- a/endpoint/health_share.go
+++ b/endpoint/health_share.go
@@ -1,6 +1,10 @@
 package endpoint
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Phase is the part of an endpoint's health that entry VMs share.
 type Phase uint8
@@ -8,8 +12,8 @@
 // The phases in reports.
 const (
 	// Ejected means that the endpoint gets no tasks.
-	Ejected Phase = iota
-	// OnTrial means that a probe has ended the ejection.
+	Ejected Phase = iota + 1
+	// OnTrial means that the endpoint has answered the probe at the end of its ejection.
 	OnTrial
 	// Unanswered means that the sender waits for an answered probe.
 	Unanswered
@@ -27,36 +31,59 @@
 	Left        time.Duration // until the ejection ends
 }
 
-// Report returns what peers should know, at most two entries for each endpoint that isn't simply usable.
+// The limits of reports, which keep a rack of failing endpoints within the byte budget.
+const (
+	shareLimit  = 4                // entries in one report, those that were reported least first
+	shareRepeat = 3                // reports that carry a change
+	shareEvery  = 10 * time.Second // after that it is repeated this often
+)
+
+// Report returns what all peers should know; it is due once per round of reports.
 func (h *Health) Report(now time.Time) []Ejection {
-	var out []Ejection
+	var due []*state
 	for _, s := range h.states {
-		e := Ejection{Endpoint: s.id, Incarnation: s.incarnation, Level: s.level, Age: now.Sub(s.changed)}
-		switch {
-		case s.phase == ejected:
-			e.Left = max(0, s.until.Sub(now))
-			out = append(out, e)
-		case s.phase == trial && e.Age < shareFor:
-			e.Phase = OnTrial
-			out = append(out, e)
+		if s.shareDue(now) {
+			due = append(due, s)
 		}
-		out = s.reportAnswers(now, e, out)
+	}
+	slices.SortStableFunc(due, func(a, b *state) int { return cmp.Compare(a.shares, b.shares) })
+	var out []Ejection
+	for _, s := range due[:min(len(due), shareLimit)] {
+		e, _ := s.report(now)
+		s.shares = min(s.shares+1, shareRepeat)
+		s.nextShare = now.Add(shareEvery)
+		out = append(out, e)
 	}
 	return out
 }
 
-// reportAnswers adds whether probes are needed or answered.
-func (s *state) reportAnswers(now time.Time, e Ejection, out []Ejection) []Ejection {
-	e.Left = 0
+// shareDue reports whether an endpoint has an entry that is new or due again.
+func (s *state) shareDue(now time.Time) bool {
+	e, ok := s.report(now)
+	if ok && e.Phase != s.shared {
+		s.shared, s.shares = e.Phase, 0
+	}
+	return ok && (s.shares < shareRepeat || !now.Before(s.nextShare))
+}
+
+// report is the entry of one endpoint, which has none while it is simply usable. An ejection outweighs the rest, because
+// its probe answers for withheld slots as well.
+func (s *state) report(now time.Time) (Ejection, bool) {
+	e := Ejection{Endpoint: s.id, Incarnation: s.incarnation, Level: s.level, Age: now.Sub(s.changed)}
+	answered := s.owned && now.Sub(s.peerSilentAt) < shareFor && now.Sub(s.answeredAt) < shareFor
 	switch {
+	case s.phase == ejected:
+		e.Phase, e.Left = Ejected, max(0, s.until.Sub(now))
+	case s.phase == trial && e.Age < shareFor:
+		e.Phase = OnTrial
 	case s.owes && !s.owned:
 		e.Phase, e.Age = Unanswered, now.Sub(s.silentAt)
-	case s.owned && s.peerSilentAt.Add(shareFor).After(now) && now.Sub(s.answeredAt) < shareFor:
+	case answered:
 		e.Phase, e.Age = Answered, now.Sub(s.answeredAt)
 	default:
-		return out
+		return e, false
 	}
-	return append(out, e)
+	return e, true
 }
 
 // Learn takes over the report of a peer.
@@ -74,16 +101,22 @@
 			if s.phase == ejected && !now.Before(s.until) && began.After(s.changed) {
 				s.enter(now, trial)
 			}
+			s.learnAnswer(began)
 		case Unanswered:
 			s.peerSilentAt = now
 		case Answered:
-			if s.owes && began.After(s.silentAt) {
-				s.owes, s.restore = false, true
-			}
+			s.learnAnswer(began)
 		}
 	}
 }
 
+// learnAnswer ends the wait for an answered probe.
+func (s *state) learnAnswer(at time.Time) {
+	if s.owes && at.After(s.silentAt) {
+		s.owes, s.restore = false, true
+	}
+}
+
 // learnEjected follows an ejection that is newer than what this VM knows of the endpoint; an own success since then
 // outweighs it.
 func (h *Health) learnEjected(now time.Time, s *state, e Ejection, began time.Time) {
--- a/endpoint/health_test.go
+++ b/endpoint/health_test.go
@@ -242,11 +242,11 @@
 	c := newHealthCase(16, false)
 	c.now = c.now.Add(2 * time.Second)
 	c.record(0, Good)
-	c.h.Learn(c.now, []Ejection{{Endpoint: name(0), Incarnation: 1, Age: time.Second, Left: time.Second, Level: 1}})
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(0), Incarnation: 1, Phase: Ejected, Age: time.Second, Left: time.Second, Level: 1}})
 	is.Equal(c.ejected(), 0)
-	c.h.Learn(c.now, []Ejection{{Endpoint: name(1), Incarnation: 1, Age: time.Second, Left: time.Second, Level: 1}})
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(1), Incarnation: 1, Phase: Ejected, Age: time.Second, Left: time.Second, Level: 1}})
 	is.Equal(c.ejected(), 1)
-	c.h.Learn(c.now, []Ejection{{Endpoint: name(2), Incarnation: 9, Age: time.Second, Left: time.Second, Level: 1}})
+	c.h.Learn(c.now, []Ejection{{Endpoint: name(2), Incarnation: 9, Phase: Ejected, Age: time.Second, Left: time.Second, Level: 1}})
 	is.Equal(c.ejected(), 1) // an ejection of another incarnation
 }
 
@@ -286,7 +286,7 @@
 				case 5, 6:
 					c.h.Probed(c.now, name(i), step == 5)
 				case 7:
-					c.h.Learn(c.now, []Ejection{{Endpoint: name(i), Incarnation: 1, Level: i, Left: time.Second}})
+					c.h.Learn(c.now, []Ejection{{Endpoint: name(i), Incarnation: 1, Phase: Ejected, Level: i, Left: time.Second}})
 				}
 			}
 			if a.ejected() > n/3 {
@@ -300,3 +300,40 @@
 		}
 	})
 }
+
+// A rack of failing endpoints must not fill the reports of the others.
+func TestReportIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := newHealthCase(220, false)
+	for i := range 70 {
+		c.repeat(3, i, Unreachable)
+	}
+	is.Equal(c.ejected(), 70)
+	entries := 0
+	for range 100 {
+		report := c.h.Report(c.now)
+		is.True(len(report) <= shareLimit)
+		entries += len(report)
+		c.tick(100 * time.Millisecond)
+	}
+	is.True(entries >= 70*shareRepeat)
+	t.Logf("%d entries in 100 reports about 70 ejected endpoints", entries)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	c := newHealthCase(220, true)
+	id := job.ID{Sequence: 1}
+	b.ReportAllocs()
+	for n := range b.N {
+		c.h.Record(c.now, "executor-100", id, Verdict(n%2))
+	}
+}
+
+func BenchmarkHealthTick(b *testing.B) {
+	c := newHealthCase(220, true)
+	out := make([]Action, 0, 256)
+	b.ReportAllocs()
+	for range b.N {
+		out = c.h.Tick(c.now, out[:0])
+	}
+}
