Bound the membership part of reports

Cause: after the loss of a rack or the first list of the platform, 16 entries in each report would take several times the byte budget for seconds.

Weighed: leaving the spread to the hash alone, which takes 2 s. Changes go into three reports, those first that were reported least, four at a time; the first list is not reported, because the peers have it too, and what a peer reported is repeated once.

--- a/zone/table.go
+++ b/zone/table.go
@@ -23,8 +23,8 @@
 
 // The limits of reports and of forgetting.
 const (
-	recentLimit  = 16               // changes in one report; more follow in the next ones or by exchange of the table
-	recentRepeat = 8                // reports that carry a change; a peer that misses all of them sees another hash
+	recentLimit  = 4                // changes in one report, those first that were reported least
+	recentRepeat = 3                // reports that carry a change; a peer that misses all of them sees another hash
 	absentFor    = 10 * time.Second // a VM that newer lists lack for this long is gone
 	goneFor      = 24 * time.Hour   // a gone VM is remembered so that a stale list doesn't bring it back
 	divergeAfter = 2 * time.Second  // the hash of a peer may differ for this long
@@ -95,14 +95,18 @@
 func (t *Table) Merge(now time.Time, vms []platform.VM) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.merge(now, vms)
+	return t.merge(now, vms, recentRepeat-1) // the sender tells all peers itself, so once more is enough
 }
 
 // MergeList takes over the platform's list; a VM that newer lists lack for 10 s is gone.
 func (t *Table) MergeList(now time.Time, list platform.List) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changes := t.merge(now, list.VMs)
+	reports := 0
+	if t.version == 0 {
+		reports = recentRepeat // peers have the first list as well
+	}
+	changes := t.merge(now, list.VMs, reports)
 	if list.Version <= t.version || len(list.VMs) == 0 {
 		return changes
 	}
@@ -110,10 +114,12 @@
 	return append(changes, t.absences(now, list.VMs)...)
 }
 
-func (t *Table) merge(now time.Time, vms []platform.VM) []Change {
+// merge takes over entries whose changes count as having been reported so many times.
+func (t *Table) merge(now time.Time, vms []platform.VM, reports int) []Change {
 	var changes []Change
 	for _, vm := range vms {
 		if t.relevant(vm) && t.accept(now, vm) {
+			t.byID[vm.ID].reports = reports
 			changes = append(changes, Change{VM: t.byID[vm.ID].vm})
 		}
 	}
@@ -150,7 +156,7 @@
 		return filled
 	}
 	r.vm.State = vm.State
-	r.changed, r.reports = now, 0
+	r.changed = now
 	return true
 }
 
--- a/zone/view.go
+++ b/zone/view.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -67,22 +68,22 @@
 	return owner
 }
 
-// Recent returns changes of the last 10 s for the next report; each is part of at most 8 reports and a report has at
-// most 16.
+// Recent returns changes of the last 10 s for the next report to all peers; it is due once per round of reports.
 func (t *Table) Recent(now time.Time) []platform.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var vms []platform.VM
+	var due []*record
 	for _, r := range t.records {
-		if len(vms) == recentLimit {
-			break
-		}
 		if r.changed.IsZero() {
 			r.changed = now // this VM itself, in its first report
 		}
-		if r.reports >= recentRepeat || now.Sub(r.changed) >= t.config.RecentFor {
-			continue
+		if r.reports < recentRepeat && now.Sub(r.changed) < t.config.RecentFor {
+			due = append(due, r)
 		}
+	}
+	slices.SortStableFunc(due, func(a, b *record) int { return cmp.Compare(a.reports, b.reports) })
+	var vms []platform.VM
+	for _, r := range due[:min(len(due), recentLimit)] {
 		r.reports++
 		vms = append(vms, r.vm)
 	}
