Load: sleep in the kernel until the time of a submission

Cause: with few submissions per second the tool began with half of them more than 0.5 ms late, which is 1% of a task of 50 ms and counts as response time of the system.

Weighed: spinning before each submission (a whole core of a shared machine), or counting from the actual submission, which hides a late tool. A sleep in the kernel for the last 5 ms costs a thread and no core.

--- a/load/run.go
+++ b/load/run.go
@@ -138,19 +138,23 @@
 	}
 }
 
+// sleepUntil returns at the time or with the error of ctx.
 func sleepUntil(ctx context.Context, at time.Time) error {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err()
+	// The runtime's timers are precise enough until shortly before the time.
+	const coarse = 5 * time.Millisecond
+	if d := time.Until(at); d > coarse {
+		timer := time.NewTimer(d - coarse)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for d := time.Until(at); d > 0; d = time.Until(at) {
+		sleepPrecisely(d)
 	}
+	return ctx.Err()
 }
 
 func (r *runner) exchange(target int, a arrival, id string, until time.Time) result {
--- /dev/null
+++ b/load/sleep_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package load
+
+import "time"
+
+func sleepPrecisely(d time.Duration) { time.Sleep(d) }
