--- a/publication/head.go
+++ b/publication/head.go
@@ -144,15 +144,13 @@
 	return Record{}, false
 }
 
-// next returns the head that follows when the record is published.
-func (h Head) next(record Record) Head {
+// next returns the head that follows when the record is published, with at most the given number of earlier records.
+func (h Head) next(record Record, keep int) Head {
 	if h.Generation == 0 {
 		return Head{Record: record, History: []Record{}, Retired: []string{}}
 	}
 	history := h.Records()
-	if len(history) > MaxHistory {
-		history = history[:MaxHistory]
-	}
+	history = history[:min(len(history), keep)]
 	return Head{Record: record, History: history, Retired: []string{}}
 }
 
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -33,7 +33,8 @@
 
 // Publisher publishes sets on behalf of one author.
 type Publisher struct {
-	config Config
+	config  Config
+	history int // earlier records that a new head keeps
 }
 
 // New returns a publisher.
@@ -47,7 +48,7 @@
 	if config.SettleTimeout == 0 {
 		config.SettleTimeout = defaultSettleTimeout
 	}
-	return &Publisher{config: config}
+	return &Publisher{config: config, history: MaxHistory}
 }
 
 // RaceError means that another publication came first; nothing of the refused one is in force.
@@ -119,7 +120,7 @@
 	if err := record.check(); err != nil {
 		return Record{}, err
 	}
-	a.next = a.head.next(record)
+	a.next = a.head.next(record, p.history)
 	if err := p.writeSet(ctx, a); err != nil {
 		return Record{}, err
 	}
--- a/publication/retire.go
+++ b/publication/retire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"samphireplank.example/samphireplank/platform"
 )
@@ -13,8 +14,8 @@
 	maxRetired = 256
 	// retiredPerPublication bounds the calls that a publication spends on keys that earlier ones left behind.
 	retiredPerPublication = 16
-	// abandonAttempts bounds the attempts of the loser of a race to hand over its keys.
-	abandonAttempts = 5
+	// abandonTimeout bounds how long the loser of a race tries to hand over its keys before it reports the winner.
+	abandonTimeout = 5 * time.Second
 )
 
 // staleKey is a key to delete after the publication, at the version it had before.
@@ -69,36 +70,31 @@
 	}
 }
 
-// abandon adds the keys that the loser of a race has written to the retired ones. The loser must not delete them
-// itself, as another publisher may be about to publish the same set.
+// abandon adds the keys that the loser of a race has written to the retired ones, and gives up after abandonTimeout.
+// The loser must not delete them itself, as another publisher may be about to publish the same set.
 func (p *Publisher) abandon(ctx context.Context, keys []string, cause error) {
 	var race *RaceError
 	if !errors.As(cause, &race) {
 		return
 	}
-	for range abandonAttempts {
-		head, version, err := p.readHead(ctx)
+	ctx, cancel := context.WithTimeout(ctx, abandonTimeout)
+	defer cancel()
+	// The refusal stands whether or not the keys could be handed over; in the worst case a set stays in the store.
+	_ = p.retry(ctx, func(ctx context.Context) error {
+		head, version, err := ReadHead(ctx, p.config.Store)
 		if err != nil {
-			return
+			return err
 		}
 		retired := appendRetired(head, keys)
 		if len(retired) == len(head.Retired) {
-			return
+			return nil
 		}
 		head.Retired = retired
-		if p.swapRetired(ctx, head, version) == nil {
-			return
+		data, err := head.Encode()
+		if err != nil {
+			return err
 		}
-	}
-}
-
-func (p *Publisher) swapRetired(ctx context.Context, head Head, version uint64) error {
-	data, err := head.Encode()
-	if err != nil {
+		_, err = p.config.Store.CompareAndSwap(ctx, HeadKey, version, data)
 		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	_, err = p.config.Store.CompareAndSwap(ctx, HeadKey, version, data)
-	return err
+	})
 }
