--- a/link/client.go
+++ b/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +21,10 @@
 	DefaultCallTimeout     = 35 * time.Second // above the longest deadline of a job
 )
 
+// ExchangeOverhead is an upper bound of the bytes that HTTP/2 adds to a batch and an empty answer on an open connection,
+// without TCP and IP; a sender that keeps to a byte budget adds it to the size of each batch.
+const ExchangeOverhead = 50
+
 // A connection without a frame from the peer for the ping interval is pinged, and closed when the ping isn't answered
 // in the same time. After a partition, TCP alone would wait for its next retransmission, up to a minute. Connections
 // that carry submissions wait longer, since closing one makes the submissions on it unknown.
@@ -40,9 +45,11 @@
 // Client calls peers over two connections each: one for Exchange, so that large submissions don't delay it, and one
 // for the other calls.
 type Client struct {
-	config ClientConfig
-	mu     sync.RWMutex
-	peers  map[string]*peer // by address
+	config      ClientConfig
+	controlPing time.Duration
+	callPing    time.Duration
+	mu          sync.RWMutex
+	peers       map[string]*peer // by address
 }
 
 // peer holds the connections to one entry VM.
@@ -83,7 +90,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Client{config: config, peers: make(map[string]*peer)}
+	return &Client{config: config, controlPing: controlPing, callPing: callPing, peers: make(map[string]*peer)}
 }
 
 func setDefault[T int | time.Duration](field *T, value T) {
@@ -124,11 +131,19 @@
 	sent := &sentMark{}
 	answer, err := call(context.WithValue(ctx, sentKey{}, sent), request)
 	if err != nil {
-		return nil, &Error{Address: address, Call: name, Sent: sent.get(), Err: err}
+		return nil, &Error{Address: address, Call: name, Sent: sent.get(), Err: withDeadline(err)}
 	}
 	return answer, nil
 }
 
+// withDeadline marks an error as a timeout also when the peer, which is told the timeout, noticed it first.
+func withDeadline(err error) error {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Join(err, context.DeadlineExceeded)
+	}
+	return err
+}
+
 func (c *Client) peer(address string) *peer {
 	c.mu.RLock()
 	p := c.peers[address]
@@ -146,7 +161,7 @@
 }
 
 func (c *Client) newPeer(address string) *peer {
-	p := &peer{control: c.transport(controlPing), calls: c.transport(callPing)}
+	p := &peer{control: c.transport(c.controlPing), calls: c.transport(c.callPing)}
 	p.exchange = c.linkClient(p.control, address)
 	p.call = c.linkClient(p.calls, address)
 	return p
