--- a/publication/interleave_test.go
+++ b/publication/interleave_test.go
@@ -40,7 +40,7 @@
 // order of their calls, the head names a set that can be read, and nothing is left over.
 func TestRetiredSetPublishedAgain(t *testing.T) {
 	accepted := 0
-	const seeds = 200
+	const seeds = 400
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			store := newMemoryStore(seed)
