Write the help in lines instead of narrow columns

Cause: the library's help leaves a column of 20 characters for descriptions when one flag name is long; the names of environment variables were broken over three lines.

Weighed: shorter flag names and a wider assumed terminal; the first gives up clear names, the second can't be set. Chosen: an own layout with the descriptions below the flags, from the library's own list of options.

--- a/cmd/samphireplank/main.go
+++ b/cmd/samphireplank/main.go
@@ -45,11 +45,11 @@
 		err = fmt.Errorf("unexpected argument %q", rest[0])
 	}
 	if err != nil {
-		return usage(err, stdout, stderr)
+		return usage(parser, err, stdout, stderr)
 	}
 	level, err := zerolog.ParseLevel(global.LogLevel)
 	if err != nil {
-		return usage(err, stdout, stderr)
+		return usage(parser, err, stdout, stderr)
 	}
 	e := &environment{
 		JSON:    global.JSON,
@@ -103,10 +103,10 @@
 }
 
 // usage reports a wrong command line, or prints the help that was asked for.
-func usage(err error, stdout, stderr io.Writer) int {
+func usage(parser *flags.Parser, err error, stdout, stderr io.Writer) int {
 	var problem *flags.Error
 	if errors.As(err, &problem) && problem.Type == flags.ErrHelp {
-		fmt.Fprintln(stdout, problem.Message)
+		writeHelp(stdout, parser)
 		return exitDone
 	}
 	fmt.Fprintln(stderr, "samphireplank:", err)
--- a/cmd/samphireplank/main_test.go
+++ b/cmd/samphireplank/main_test.go
@@ -31,8 +31,8 @@
 		code int
 		text string // in the output of either kind
 	}{
-		{"help", []string{"--help"}, exitDone, "Available commands"},
-		{"help of a command", []string{"publish", "--help"}, exitDone, "$SAMPHIREPLANK_AUTHOR"},
+		{"help", []string{"--help"}, exitDone, "Run an entry VM"},
+		{"help of a command", []string{"publish", "--help"}, exitDone, "Environment: SAMPHIREPLANK_AUTHOR."},
 		{"no command", nil, exitUsage, "command"},
 		{"unknown command", []string{"deploy"}, exitUsage, "deploy"},
 		{"unknown flag", []string{"check", "--force", valid}, exitUsage, "force"},
@@ -69,3 +69,21 @@
 	is.Equal(code, exitFailed)
 	is.Equal(got, []string{"10.0.0.1:80", "10.0.0.2:80", "3s"})
 }
+
+// Guards against a flag or command without help.
+func TestEverythingIsDescribed(t *testing.T) {
+	parser, err := newParser(&globalOptions{}, commands())
+	is.New(t).NoErr(err)
+	for _, c := range parser.Commands() {
+		if c.ShortDescription == "" || c.LongDescription == "" {
+			t.Errorf("command %s has no help", c.Name)
+		}
+		for _, g := range append(c.Groups(), c.Group) {
+			for _, o := range g.Options() {
+				if o.LongName != "help" && (o.Description == "" || o.EnvDefaultKey == "") {
+					t.Errorf("flag --%s of %s has no description or environment variable", o.LongName, c.Name)
+				}
+			}
+		}
+	}
+}
