--- a/entry/wire.go
+++ b/entry/wire.go
@@ -187,7 +187,7 @@
 	out := &linkpb.Handover{Sent: m.Sent}
 	for _, item := range m.Items {
 		out.Items = append(out.Items, &linkpb.Occupied{
-			Endpoint: item.Endpoint, Count: uint32(item.Count), Released: item.Released,
+			Endpoint: item.Endpoint, Count: uint32(item.Count), Release: item.Release,
 		})
 	}
 	return out
@@ -244,7 +244,7 @@
 	handover := slot.Handover{Sent: m.Sent}
 	for _, item := range m.Items {
 		handover.Items = append(handover.Items, slot.Occupied{
-			Endpoint: item.Endpoint, Count: int(item.Count), Released: item.Released,
+			Endpoint: item.Endpoint, Count: int(item.Count), Release: item.Release,
 		})
 	}
 	return handover
