Test the invariants of the decision core under generated faults

The decision core had no test of its own.

The checks compare with what the endpoints executed and not with the state of the core, so that a wrong count in the core cannot hide a second start. A refused task may go to another slot at once; what is checked is that a VM gets at most one refusal for each slot of an endpoint within the shortest delay, because the core delays the slot and not the task.

--- /dev/null
+++ b/dispatch/invariant_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/endpoint"
+	"samphireplank.example/samphireplank/job"
+)
+
+// ledgerOfJob is what a test zone has seen of a job.
+type ledgerOfJob struct {
+	vm       *fakeVM
+	kind     string
+	tasks    []taskRecord
+	finished bool
+	outcome  job.Outcome
+	reason   string
+	wait     time.Duration // the retry-after time
+	deadline time.Time
+	answered time.Time
+}
+
+// taskRecord counts the starts of a task by what became of them.
+type taskRecord struct {
+	started   bool
+	open      bool
+	reached   int // ended, neither refused nor not sent
+	succeeded int
+	executed  int // by the endpoints
+}
+
+func (z *testZone) fail(format string, args ...any) {
+	z.failures = append(z.failures, fmt.Sprintf("%v: ", z.now.Sub(start))+fmt.Sprintf(format, args...))
+}
+
+func (z *testZone) kind(name string) contract.Kind {
+	return z.set.Kinds[slices.IndexFunc(z.set.Kinds, func(k contract.Kind) bool { return k.Name == name })]
+}
+
+func (z *testZone) started(s *Start) {
+	j := z.jobs[s.Job]
+	task := &j.tasks[s.Task]
+	kind := z.kind(j.kind)
+	switch {
+	case j.finished:
+		z.fail("job %v: task %d started after the answer", s.Job, s.Task)
+	case task.open:
+		z.fail("job %v: task %d started while a start of it is open", s.Job, s.Task)
+	case !kind.Idempotent && task.reached > 0:
+		z.fail("job %v: task %d of a non-idempotent kind started again", s.Job, s.Task)
+	case task.reached >= kind.Attempts:
+		z.fail("job %v: task %d started beyond its %d attempts", s.Job, s.Task, kind.Attempts)
+	}
+	if !task.started {
+		z.first++
+	}
+	task.started = true
+	task.open = true
+}
+
+func (z *testZone) executed(s *Start) {
+	j := z.jobs[s.Job]
+	j.tasks[s.Task].executed++
+	if executed := j.tasks[s.Task].executed; executed > z.kind(j.kind).Attempts {
+		z.fail("job %v: task %d executed %d times", s.Job, s.Task, executed)
+	}
+	if j.finished && j.outcome == job.NotRun {
+		z.fail("job %v: task %d executed after the answer not-run", s.Job, s.Task)
+	}
+}
+
+func (z *testZone) ended(vm *fakeVM, s *Start, result endpoint.Result) {
+	task := &z.jobs[s.Job].tasks[s.Task]
+	task.open = false
+	switch result {
+	case endpoint.Refused, endpoint.NotSent:
+		z.refusedOnce(vm, s.Endpoint)
+		return
+	case endpoint.Succeeded:
+		task.succeeded++
+	case endpoint.Failed, endpoint.Rejected, endpoint.Unknown:
+	}
+	task.reached++
+	if task.reached > 1 {
+		z.retried(vm)
+	}
+}
+
+// retried checks that the retries of a VM stay within a tenth of the first starts, one a second and the first ones.
+func (z *testZone) retried(vm *fakeVM) {
+	z.retries++
+	allowed := firstRetries + retryRatio*float64(z.first) + leastRetries*z.now.Sub(start).Seconds()
+	if len(z.vms) == 1 && float64(z.retries) > allowed {
+		z.fail("%s: %d retries of %d first starts are beyond the budget", vm.id, z.retries, z.first)
+	}
+}
+
+// refusedOnce checks that the slots of an endpoint that refuses rest: a VM gets at most one refusal for each of them in
+// the shortest delay.
+func (z *testZone) refusedOnce(vm *fakeVM, id string) {
+	key := vm.id + " " + id
+	recent := slices.DeleteFunc(z.refusals[key], func(at time.Time) bool { return z.now.Sub(at) >= minRefusalDelay })
+	z.refusals[key] = append(recent, z.now)
+	if len(z.refusals[key]) > z.endpoint(id).slots && !vm.frozen {
+		z.fail("%s: %d refusals of %s within %v", vm.id, len(z.refusals[key]), id, minRefusalDelay)
+	}
+}
+
+func (z *testZone) finished(f *Finish) {
+	j := z.jobs[f.Job]
+	if j.finished {
+		z.fail("job %v: answered twice, %v and %v", f.Job, j.outcome, f.Outcome)
+	}
+	j.finished, j.outcome, j.reason, j.wait, j.answered = true, f.Outcome, f.Reason, f.RetryAfter, z.now
+	for i, task := range j.tasks {
+		switch {
+		case f.Outcome == job.Complete && task.succeeded != 1:
+			z.fail("job %v: complete, but task %d succeeded %d times", f.Job, i, task.succeeded)
+		case f.Outcome == job.NotRun && (task.open || task.reached > 0 || task.executed > 0):
+			z.fail("job %v: not-run, but task %d was started", f.Job, i)
+		case f.Outcome == job.Failed && task.open:
+			z.fail("job %v: failed, but task %d is running", f.Job, i)
+		}
+	}
+}
+
+// checkEnd checks after all sends have ended that every job of a living VM was answered and nothing is left in use.
+func (z *testZone) checkEnd() {
+	for _, vm := range z.vms {
+		if vm.dead {
+			continue
+		}
+		if counts := vm.core.ledger.Counts(); vm.core.Jobs() > 0 || counts.InUse > 0 || vm.core.running > 0 {
+			z.fail("%s: %d jobs, %d slots in use and %d tasks running at the end", vm.id, vm.core.Jobs(), counts.InUse,
+				vm.core.running)
+		}
+	}
+	for id, j := range z.jobs {
+		if !j.finished && !j.vm.dead {
+			z.fail("job %v was not answered", id)
+		}
+	}
+}
