Take refused starts out of the retry budget

Each first start of a task saves a tenth of a retry. A task that was refused or not sent counted again with its next first start, so that an endpoint that refuses for a while filled the budget up to 100 retries for a service that had not run a task. The core now takes the tenth back with the refusal, and the budget may fall below zero when it was spent in the meantime.

--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -170,6 +170,9 @@
 // Started counts the first start of a task.
 func (b *RetryBudget) Started() { b.saved = min(b.saved+retryRatio, mostSavedRetries) }
 
+// Unstarted takes back what Started saved for a task that no endpoint has started.
+func (b *RetryBudget) Unstarted() { b.saved -= retryRatio }
+
 // Take reports whether a retry is allowed and counts it.
 func (b *RetryBudget) Take(now time.Time) bool {
 	if passed := now.Sub(b.filled); passed > 0 {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -208,6 +208,9 @@
 	case endpoint.Refused, endpoint.NotSent:
 		j.started--
 		j.attempts[m.Task]--
+		if j.attempts[m.Task] == 0 {
+			c.retries.Unstarted()
+		}
 		c.requeue(j, m)
 	case endpoint.Rejected:
 		c.abandon(m, j, job.Failed, fmt.Sprintf("endpoint %q rejected task %d", m.Endpoint, m.Task))
--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -104,6 +104,24 @@
 	is.Equal(z.jobs[running].outcome, job.Complete)
 }
 
+// Guards against refusals that fill the retry budget: a refused start is no attempt.
+func TestRefusalsDoNotPayForRetries(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 4)
+	z.answering(func(*Start) answer {
+		if z.now.Sub(start) < 2*time.Second {
+			return answer{endpoint.Refused, 0}
+		}
+		return answer{endpoint.Failed, time.Millisecond}
+	})
+	for range 40 {
+		z.submit(z.vms[0], "quote", "birch", 1, 20*time.Second)
+	}
+	z.end()
+	is.True(z.first == 40)
+	is.True(z.retries <= 10+4+35)
+}
+
 // Guards against jobs that wait in vain, and against refusals without the reason or the time to return.
 func TestRefusals(t *testing.T) {
 	for _, c := range []struct {
