Probe new endpoints with withheld slots at once

A slot whose task got no answer is withheld until its endpoint answers a probe, which is due every second. An endpoint that was listed less than 5 s ago had its next probe set to the end of these 5 s, whatever happened in the meantime, so its slots stayed withheld for up to 5 s.

The first idle probe now follows from the beginning of the phase, like the later ones from the last success, and the time of the next probe only spaces probes. Weighed: moving the next probe forward with each unanswered task; that has to be repeated for reports of peers.

--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -104,6 +104,41 @@
 	is.Equal(z.jobs[running].outcome, job.Complete)
 }
 
+// Guards against the use of a slot on which a task may still run.
+func TestUnknownWithholdsTheSlotUntilAProbe(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 1)
+	z.answering(always(endpoint.Unknown, time.Minute))
+	z.submit(z.vms[0], "scan", "birch", 3, 100*time.Millisecond)
+	z.run(100 * time.Millisecond)
+	z.endpoints[0].dead = true
+	z.run(1400 * time.Millisecond) // beyond the deadline and the least time for late answers
+	counts := z.vms[0].core.ledger.Counts()
+	is.Equal(counts.Withheld, 3)
+	is.Equal(counts.Idle, 5)
+	z.endpoints[0].dead = false
+	z.run(1100 * time.Millisecond) // the next probe
+	counts = z.vms[0].core.ledger.Counts()
+	is.Equal(counts.Withheld, 0)
+	is.Equal(counts.Idle, 8)
+	z.end()
+}
+
+// Guards against withheld slots that are used after a time without an answered probe, or never again.
+func TestWithheldSlotsStayWithoutAProbe(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 1)
+	z.answering(always(endpoint.Unknown, time.Minute))
+	z.submit(z.vms[0], "scan", "birch", 3, 100*time.Millisecond)
+	z.run(100 * time.Millisecond)
+	z.endpoints[0].dead = true
+	z.run(10 * time.Second)
+	is.Equal(z.vms[0].core.ledger.Counts().Withheld, 3)
+	z.endpoints[0].dead = false
+	z.run(35 * time.Second)
+	is.Equal(z.vms[0].core.ledger.Counts().Withheld, 0)
+}
+
 // Guards against refusals that fill the retry budget: a refused start is no attempt.
 func TestRefusalsDoNotPayForRetries(t *testing.T) {
 	is := is.New(t)
--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -182,7 +182,7 @@
 func (h *Health) fresh(now time.Time, m Member, told int) state {
 	return state{
 		id: m.ID, incarnation: m.Incarnation, told: told, changed: now,
-		windowEnd: now.Add(window), nextProbe: now.Add(h.config.IdleProbe),
+		windowEnd: now.Add(window),
 	}
 }
 
--- a/endpoint/health_judge.go
+++ b/endpoint/health_judge.go
@@ -184,7 +184,10 @@
 	if s.owes || s.probeFails > 0 || s.peerSilentAt.After(s.answeredAt) {
 		return true
 	}
-	since := s.answeredAt
+	since := s.changed
+	if s.answeredAt.After(since) {
+		since = s.answeredAt
+	}
 	if s.goodAt.After(since) {
 		since = s.goodAt
 	}
