Test sharing, ejection and loss of VMs with three cores

Single cases over three cores with a loss-free link and 16 endpoints of 8 slots, which guard the measures of the design.

--- /dev/null
+++ b/dispatch/share_test.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/endpoint"
+	"samphireplank.example/samphireplank/job"
+)
+
+// offer submits single-task jobs at a rate for a time; parts gives each VM's percentage of them.
+func (z *testZone) offer(d time.Duration, perSecond int, parts []int, kind string) {
+	interval := time.Second / time.Duration(perSecond)
+	for at := time.Duration(0); at < d; at += interval {
+		z.after(at+z.upTo(interval), func() {
+			draw := z.random.IntN(100)
+			for i, part := range parts {
+				if draw -= part; draw < 0 {
+					if !z.vms[i].dead {
+						z.submit(z.vms[i], kind, "birch", 1, 5*time.Second)
+					}
+					return
+				}
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that fails everything fast and therefore draws the work of the zone.
+func TestFailingEndpointCostsFewTasks(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	z.offer(12*time.Second, 1800, []int{34, 33, 33}, "scan") // 70% of 128 slots
+	z.run(time.Second)
+	bad := z.endpoints[5]
+	before := bad.starts
+	bad.answers = always(endpoint.Failed, time.Millisecond)
+	z.run(time.Second)
+	cost := bad.starts - before
+	z.run(9 * time.Second)
+	later := bad.starts - before - cost
+	t.Logf("%d tasks a second before, %d in the first second, %d in the next 9 s", before, cost, later)
+	is.True(cost <= 20)
+	is.True(later*100 <= before*9)
+	z.end()
+}
+
+// Guards against endpoints that are ejected because a job fails wherever it runs.
+func TestFailingJobEjectsNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 4)
+	var failing job.ID
+	z.answering(func(s *Start) answer {
+		if s.Job == failing {
+			return answer{endpoint.Failed, time.Millisecond}
+		}
+		return answer{endpoint.Succeeded, 50 * time.Millisecond}
+	})
+	z.offer(time.Second, 300, []int{100}, "scan")
+	z.run(200 * time.Millisecond)
+	failing = job.ID{Zone: "tartu-a", VM: "entry-0", Incarnation: 1, Sequence: z.vms[0].sequence + 1}
+	z.submit(z.vms[0], "quote", "juniper", 150, 5*time.Second)
+	for range 100 {
+		z.run(10 * time.Millisecond)
+		is.Equal(len(z.vms[0].core.Status().Limited), 0)
+	}
+	z.end()
+	is.Equal(z.jobs[failing].outcome, job.Failed)
+}
+
+// Guards against starts on an endpoint that is leaving.
+func TestLeavingEndpointGetsNoStart(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 4)
+	z.offer(2*time.Second, 600, []int{70, 20, 10}, "scan")
+	z.run(time.Second)
+	leaving := z.endpoints[1]
+	is.True(leaving.starts > 0)
+	leaving.listed = false
+	z.inform(0)
+	z.run(linkDelay) // tasks on their way
+	before := leaving.starts
+	z.run(time.Second)
+	is.Equal(leaving.starts, before)
+	z.end()
+}
+
+// Guards against slots that stay unused after the death of their owner.
+func TestSlotsOfAKilledVMAreUsedAgain(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	for range 60 {
+		for _, vm := range z.vms {
+			z.submit(vm, "scan", "birch", 150, 30*time.Second)
+		}
+	}
+	z.run(time.Second)
+	is.True(z.inUse() >= 120)
+	z.kill(z.vms[2])
+	killed := z.now
+	z.run(200 * time.Millisecond)
+	t.Logf("%d slots in use 200 ms after the kill", z.inUse())
+	for z.now.Sub(killed) < 3*time.Second {
+		z.run(10 * time.Millisecond)
+		if z.inUse() >= 125 {
+			break
+		}
+	}
+	t.Logf("%d slots in use %v after the kill", z.inUse(), z.now.Sub(killed))
+	z.run(3*time.Second - z.now.Sub(killed))
+	sum := 0
+	for range 100 {
+		z.run(time.Millisecond)
+		sum += z.inUse()
+	}
+	t.Logf("%.1f slots in use on average after 3 s", float64(sum)/100)
+	is.True(sum >= 122*100) // of 128; between two tasks a slot waits for two messages
+	z.end()
+}
+
+// Guards against a wide job that waits for loans although the zone is idle.
+func TestWideJobGetsTheIdleZone(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	z.answering(always(endpoint.Succeeded, 500*time.Millisecond))
+	z.run(time.Second)
+	id := z.submit(z.vms[0], "scan", "birch", 150, 10*time.Second)
+	asked := z.now
+	for z.now.Sub(asked) < 50*time.Millisecond && z.first < 120 {
+		z.run(100 * time.Microsecond)
+	}
+	t.Logf("%d slots after %v", z.first, z.now.Sub(asked))
+	is.True(z.first >= 120)
+	is.True(z.now.Sub(asked) <= TickInterval+4*linkDelay+time.Millisecond) // two exchanges after the next tick
+	z.end()
+	is.Equal(z.jobs[id].outcome, job.Complete)
+}
+
+// Guards against idle slots next to queued work when one VM gets most of the jobs.
+func TestWorkIsConserved(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	z.offer(4*time.Second, 2400, []int{70, 20, 10}, "scan") // 94% of 128 slots
+	idle := make([]int, len(z.endpoints))
+	longest, sum := 0, 0
+	for ms := range 4000 {
+		z.run(time.Millisecond)
+		waiting := 0
+		for _, vm := range z.vms {
+			waiting += z.queued(vm)
+		}
+		sum += waiting
+		for i, e := range z.endpoints {
+			idle[i]++
+			if waiting == 0 || e.running >= e.slots {
+				idle[i] = 0
+			}
+			if ms > 500 {
+				longest = max(longest, idle[i])
+			}
+		}
+	}
+	t.Logf("an endpoint had an idle slot next to queued work for %d ms at most; %.1f tasks queued", longest, float64(sum)/4000)
+	is.True(longest <= 100)
+	z.end()
+}
