Test attempts, failing work and quotas of the core

Without the bound on attempts all earlier tests passed, because generated results rarely fail three times in a row; two kinds whose tasks always fail now show it. Work that fails on every endpoint has to eject none of them.

--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -141,6 +141,22 @@
 	is.Equal(z.vms[0].core.ledger.Counts().Withheld, 0)
 }
 
+// Guards against retries beyond the attempts of a kind.
+func TestRetriesStayWithinAttempts(t *testing.T) {
+	for kind, attempts := range map[string]int{"quote": 3, "scan": 1} {
+		for _, result := range []endpoint.Result{endpoint.Failed, endpoint.Unknown} {
+			t.Run(kind+" "+result.String(), func(t *testing.T) {
+				is := is.New(t)
+				z := newTestZone(t, 1, 1, 4)
+				z.answering(always(result, time.Millisecond))
+				id := z.submit(z.vms[0], kind, "birch", 1, 5*time.Second)
+				z.end()
+				is.Equal(z.executions(id), attempts)
+			})
+		}
+	}
+}
+
 // Guards against refusals that fill the retry budget: a refused start is no attempt.
 func TestRefusalsDoNotPayForRetries(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
 )
@@ -70,6 +71,44 @@
 	is.Equal(z.jobs[failing].outcome, job.Failed)
 }
 
+// Guards against endpoints that are ejected because all work fails.
+func TestFailingWorkEjectsNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 4)
+	z.answering(always(endpoint.Failed, time.Millisecond))
+	for range 200 {
+		z.submit(z.vms[0], "scan", "birch", 1, 5*time.Second)
+		z.run(5 * time.Millisecond)
+		is.Equal(len(z.vms[0].core.Status().Limited), 0)
+	}
+	z.end()
+}
+
+// Guards against a quota that each VM applies to itself.
+func TestQuotaHoldsOverTheZone(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	z.set.Limits = []contract.Limit{{Name: "birch", Quota: 25, Queue: 1 << 20}}
+	z.set.Teams[0].Limit = "birch"
+	for _, vm := range z.vms {
+		z.deliver(vm, ConfigurationChanged{Set: z.set})
+		for range 10 {
+			z.submit(vm, "scan", "birch", 150, 30*time.Second)
+		}
+	}
+	z.run(time.Second)
+	most, sum := 0, 0
+	for range 2000 {
+		z.run(time.Millisecond)
+		most = max(most, z.inUse())
+		sum += z.inUse()
+	}
+	t.Logf("%d slots in use at most and %.1f on average, with a quota of 32", most, float64(sum)/2000)
+	is.True(most <= 32)
+	is.True(sum >= 28*2000)
+	z.end()
+}
+
 // Guards against starts on an endpoint that is leaving.
 func TestLeavingEndpointGetsNoStart(t *testing.T) {
 	is := is.New(t)
