Refuse a second submission of a job with tasks in flight

The core left it to the queue to find duplicates. The queue forgets a job with its answer, so a job that was cancelled with tasks in flight was admitted again under the same id: its 4 tasks were started a second time next to the running ones, and their ends were counted for the new job. The core now asks its own table of jobs first and answers unknown, as for a queued duplicate.

Ruled out as a fault that callers meet: the registry of entry refuses an id that it remembers, and it remembers ids for longer than tasks run. An id is not known to the core any more after its last task has ended; the registry remains responsible for that.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -24,6 +24,11 @@
 
 // submit admits a job or refuses it whole.
 func (c *Core) submit(now time.Time, m Submit) {
+	// The queue forgets a job with its answer, but tasks of it may still be in flight.
+	if _, known := c.jobs[m.Job]; known {
+		c.emit(Finish{Job: m.Job, Outcome: job.Unknown, Reason: queue.ErrDuplicate.Error()})
+		return
+	}
 	refusal, refused := c.admit(now, m)
 	if refused {
 		refusal.Job = m.Job
--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// Guards against a second start of tasks whose id is submitted again while the job is running, queued or answered with
+// tasks in flight.
+func TestDuplicateSubmissionStartsNothing(t *testing.T) {
+	for _, cancel := range []bool{false, true} {
+		is := is.New(t)
+		z := newTestZone(t, 1, 1, 1)
+		id := z.submit(z.vms[0], "scan", "birch", 4, 5*time.Second)
+		if cancel {
+			z.deliver(z.vms[0], Cancel{Job: id})
+		}
+		first := z.first
+		out := z.vms[0].core.Update(z.now, Submit{Job: id, Kind: "scan", Team: "birch", Tasks: 4, Deadline: z.now.Add(time.Second)}, nil)
+		is.Equal(len(out), 1)
+		is.Equal(out[0].(Finish).Outcome, job.Unknown)
+		is.Equal(z.first, first)
+		z.end()
+	}
+}
+
 // Guards against refusals that fill the retry budget: a refused start is no attempt.
 func TestRefusalsDoNotPayForRetries(t *testing.T) {
 	is := is.New(t)
