Admit a kind again after its tasks were slower than its deadline

The expected run time of a kind moves only with the tasks that end. When tasks once ran for longer than the deadline, which a slow rack or a straggling service does, the expected run time rose beyond it and every further job of the kind was refused. With no task running, no observation could bring it down again: in the new test 0 of 200 jobs completed after the endpoints were fast again (expected run time 623 ms, deadline 200 ms).

A refusal for the run time alone now doubts the estimate: after 1 s without an observation it halves the distance to the declared run time, if that fits the time left. 198 of the 200 jobs complete with it.

Weighed: ageing of every idle estimate, which would bring wrong declared run times back after a pause; one trial job a second, whose observation moves the average by a sixteenth, so that it takes 20 s and more. A kind that stays slow costs some late jobs every few seconds.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -87,6 +87,9 @@
 	if expected.Response+margin <= left {
 		return Finish{}, false
 	}
+	if load.RunTime > left {
+		c.estimates.Doubt(now, m.Kind, left)
+	}
 	reason := fmt.Sprintf("the expected response time of %v exceeds the %v left until the deadline",
 		expected.Response.Round(time.Millisecond), left.Round(time.Millisecond))
 	return Finish{Reason: reason, RetryAfter: expected.RetryAfter(left), Overflow: !m.Forwarded}, true
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -21,6 +21,9 @@
 	repeatRatio = 16
 	// repeatDistance is the number of tasks within which a second outlier isn't single.
 	repeatDistance = 50
+	// doubtAfter is the time without an observation after which an estimate that refuses jobs is doubted. Without it a
+	// kind whose tasks once took longer than its deadline would be refused forever, as no task shows that it is fast again.
+	doubtAfter = time.Second
 )
 
 // Estimates holds the expected run time of each kind.
@@ -35,6 +38,9 @@
 	mean     float64
 	count    int // of observations, the declared ones included
 	outlier  int // count at the last outlier
+
+	doubted    time.Time // last doubt
+	doubtCount int       // count at that time
 }
 
 // NewEstimates returns estimates without kinds.
@@ -74,6 +80,19 @@
 	k.mean += weight * (observed - k.mean)
 }
 
+// Doubt takes a job that is refused because a task is expected to run longer than the time left. After doubtAfter without
+// an observation it halves the distance to the declared run time, if that is short enough.
+func (e *Estimates) Doubt(now time.Time, kind string, left time.Duration) {
+	k, known := e.kinds[kind]
+	if !known || k.declared > left || now.Sub(k.doubted) < doubtAfter {
+		return
+	}
+	if k.count == k.doubtCount {
+		k.mean = (k.mean + k.declared.Seconds()) / 2
+	}
+	k.doubted, k.doubtCount = now, k.count
+}
+
 // RunTime returns the expected run time of a task, 0 for a kind that isn't configured.
 func (e *Estimates) RunTime(kind string) time.Duration {
 	if k, known := e.kinds[kind]; known {
--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -176,6 +176,29 @@
 	}
 }
 
+// Guards against a kind that is refused forever after its tasks have once run for longer than its deadline.
+func TestSlowKindIsAdmittedAgain(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 1, 4)
+	z.answering(always(endpoint.Succeeded, 900*time.Millisecond))
+	for range 40 {
+		z.submit(z.vms[0], "scan", "birch", 1, 200*time.Millisecond)
+		z.run(100 * time.Millisecond)
+	}
+	z.answering(nil)
+	admitted := 0
+	for range 200 {
+		id := z.submit(z.vms[0], "scan", "birch", 1, 200*time.Millisecond)
+		z.run(100 * time.Millisecond)
+		if z.jobs[id].outcome == job.Complete {
+			admitted++
+		}
+	}
+	t.Logf("%d of 200 jobs complete, expected run time %v", admitted, z.vms[0].core.estimates.RunTime("scan"))
+	is.True(admitted >= 100)
+	z.end()
+}
+
 // Guards against refusals that fill the retry budget: a refused start is no attempt.
 func TestRefusalsDoNotPayForRetries(t *testing.T) {
 	is := is.New(t)
