Let refusals without an id speak of one request only

A submission under a ticket that is refused for its form or for load got an answer not-run with its id, although an earlier submission under the same ticket may have run: guarantee 4 would be broken. Weighed: asking the dispatcher for the ticket's state, which costs a call to the home for a request that is refused for load.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -131,22 +131,23 @@
 	ctx.Response.SetBodyRaw(body)
 }
 
-// writeStatus writes an answer with outcome not-run and a status of its own.
-func (s *Server) writeStatus(ctx *fasthttp.RequestCtx, status int, id job.ID, reason string) {
-	s.writeHead(ctx, status, job.Answer{ID: id, Outcome: job.NotRun, Reason: reason})
+// writeStatus writes an answer with outcome not-run and a status of its own. It carries no id, since it speaks of this
+// request only: an earlier submission under the same ticket may have run.
+func (s *Server) writeStatus(ctx *fasthttp.RequestCtx, status int, reason string) {
+	s.writeHead(ctx, status, job.Answer{Outcome: job.NotRun, Reason: reason})
 }
 
-// writeError answers an error of the dispatcher; one that doesn't say not-run is unknown.
+// writeError answers an error of the dispatcher; one that doesn't say not-run is unknown and carries the id.
 func (s *Server) writeError(ctx *fasthttp.RequestCtx, id job.ID, err error) {
 	var request *RequestError
 	var notRun *NotRunError
 	switch {
 	case errors.As(err, &request) && request.TooLarge:
-		s.writeStatus(ctx, fasthttp.StatusRequestEntityTooLarge, id, request.Reason)
+		s.writeStatus(ctx, fasthttp.StatusRequestEntityTooLarge, request.Reason)
 	case errors.As(err, &request):
-		s.writeStatus(ctx, fasthttp.StatusBadRequest, id, request.Reason)
+		s.writeStatus(ctx, fasthttp.StatusBadRequest, request.Reason)
 	case errors.As(err, &notRun):
-		s.writeAnswer(ctx, job.Answer{ID: id, Outcome: job.NotRun, Reason: notRun.Reason, RetryAfter: notRun.RetryAfter})
+		s.writeAnswer(ctx, job.Answer{Outcome: job.NotRun, Reason: notRun.Reason, RetryAfter: notRun.RetryAfter})
 	default:
 		s.writeAnswer(ctx, job.Answer{ID: id, Outcome: job.Unknown, Reason: err.Error()})
 	}
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -13,8 +13,8 @@
 	// Tickets mints ids for later submissions.
 	Tickets(count int) ([]job.ID, error)
 	// Submit accepts a submission and returns its id, which is minted unless the submission has one.
-	// A *RequestError or *NotRunError means that no task was started and none will be; any other error leaves that
-	// open. The bodies belong to the dispatcher.
+	// A *RequestError or *NotRunError means that this call started no task and none will be started because of it;
+	// any other error leaves that open. The bodies belong to the dispatcher.
 	Submit(ctx context.Context, s job.Submission) (job.ID, error)
 	// Await returns the answer of a submission, which is Pending when it isn't known after the wait.
 	// A wait of zero asks for the present state.
--- a/caller/server.go
+++ b/caller/server.go
@@ -152,14 +152,14 @@
 	case path == "/v1/status" && s.config.Status != nil:
 		s.only(ctx, fasthttp.MethodGet, s.config.Status)
 	default:
-		s.writeStatus(ctx, fasthttp.StatusNotFound, job.ID{}, "no such path")
+		s.writeStatus(ctx, fasthttp.StatusNotFound, "no such path")
 	}
 }
 
 func (s *Server) only(ctx *fasthttp.RequestCtx, method string, handler fasthttp.RequestHandler) {
 	if string(ctx.Method()) != method {
 		ctx.Response.Header.Set("Allow", method)
-		s.writeStatus(ctx, fasthttp.StatusMethodNotAllowed, job.ID{}, "method not allowed, use "+method)
+		s.writeStatus(ctx, fasthttp.StatusMethodNotAllowed, "method not allowed, use "+method)
 		return
 	}
 	handler(ctx)
@@ -202,11 +202,11 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		s.writeError(ctx, job.ID{}, tooLarge("body is larger than %d bytes", s.config.MaxBody))
 	case errors.As(err, &small):
-		s.writeStatus(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, job.ID{}, "headers are too large")
+		s.writeStatus(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "headers are too large")
 	case timedOut:
-		s.writeStatus(ctx, fasthttp.StatusRequestTimeout, job.ID{}, "request was not complete within "+s.config.ReadTimeout.String())
+		s.writeStatus(ctx, fasthttp.StatusRequestTimeout, "request was not complete within "+s.config.ReadTimeout.String())
 	default:
-		s.writeStatus(ctx, fasthttp.StatusBadRequest, job.ID{}, "malformed HTTP request")
+		s.writeStatus(ctx, fasthttp.StatusBadRequest, "malformed HTTP request")
 	}
 }
 
--- a/caller/submit.go
+++ b/caller/submit.go
@@ -169,7 +169,7 @@
 		s.cancel(ctx, id)
 	default:
 		ctx.Response.Header.Set("Allow", "GET, DELETE")
-		s.writeStatus(ctx, fasthttp.StatusMethodNotAllowed, id, "method not allowed, use GET or DELETE")
+		s.writeStatus(ctx, fasthttp.StatusMethodNotAllowed, "method not allowed, use GET or DELETE")
 	}
 }
 
