Let up to 4,096 forwards to a peer share one connection

Forwards wait for their answers, so many are in progress at a time. The server also takes 8 MiB of unread requests per connection instead of 1 MiB, so that large submissions don't block small ones at once.

More tests of the caller interface: chunked bodies, two lengths, garbage, HTTP/1.0 and Expect: 100-continue.

--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -301,3 +301,53 @@
 	close(release)
 	is.Equal(c.answer().status, 200)
 }
+
+// Guards against requests in unusual framing that are taken wrongly or answered without an outcome.
+func TestFraming(t *testing.T) {
+	half := strings.Repeat(" ", 400)
+	tests := []struct {
+		name, request   string
+		status, reached int
+		closed          bool
+	}{
+		{"chunked body", "POST /v1/kinds/scan HTTP/1.1\r\nHost: x\r\nTeam: t\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200, 1, false},
+		{"chunked body too large", "POST /v1/kinds/scan HTTP/1.1\r\nHost: x\r\nTeam: t\r\nTransfer-Encoding: chunked\r\n\r\n190\r\n" + half + "\r\n190\r\n" + half + "\r\n0\r\n\r\n", 413, 0, true},
+		{"two lengths", "POST /v1/kinds/scan HTTP/1.1\r\nHost: x\r\nTeam: t\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, 0, true},
+		{"garbage", "\x00\xff\r\n\r\n", 400, 0, true},
+		{"no length", "POST /v1/kinds/scan HTTP/1.1\r\nHost: x\r\nTeam: t\r\n\r\n", 200, 1, false},
+		{"HTTP/1.0", "POST /v1/kinds/scan HTTP/1.0\r\nTeam: t\r\nContent-Length: 1\r\n\r\na", 200, 1, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := &fakeDispatcher{}
+			_, address := startServer(t, Config{Dispatcher: d, MaxBody: 500})
+			c := dialRaw(t, address)
+			c.write(test.request)
+			a := c.answer()
+			is.Equal(a.status, test.status)
+			is.True(a.header.Get("Job-Outcome") != "")
+			is.Equal(d.count(), test.reached)
+			if test.closed {
+				is.True(c.closed())
+			}
+		})
+	}
+}
+
+// Guards against a caller that waits for leave to send its body and gets none, as curl does for large bodies.
+func TestExpectContinue(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDispatcher{}
+	_, address := startServer(t, Config{Dispatcher: d})
+	c := dialRaw(t, address)
+	c.write("POST /v1/kinds/scan HTTP/1.1\r\nHost: x\r\nTeam: t\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	line, err := c.reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	_, err = c.reader.ReadString('\n')
+	is.NoErr(err)
+	c.write("abc")
+	is.Equal(c.answer().status, 200)
+	is.Equal(string(d.last(t).Bodies[0]), "abc")
+}
--- a/link/fault_test.go
+++ b/link/fault_test.go
@@ -145,3 +145,40 @@
 	_, err = c.Exchange(t.Context(), address, idleReport())
 	is.NoErr(err)
 }
+
+// Guards against forwards that wait behind others or open further connections once many are in progress.
+func TestManyForwardsShareAConnection(t *testing.T) {
+	is := is.New(t)
+	const forwards = 600
+	var counter *countingListener
+	var asked sync.WaitGroup
+	asked.Add(forwards)
+	release := make(chan struct{})
+	h := &fakeHandler{forward: func(context.Context, *linkpb.ForwardRequest) (*linkpb.Answer, error) {
+		asked.Done()
+		<-release
+		return &linkpb.Answer{Outcome: "complete"}, nil
+	}}
+	_, address := startServerOn(t, h, func(l net.Listener) net.Listener {
+		counter = &countingListener{Listener: l}
+		return counter
+	})
+	c := testClient(t, ClientConfig{})
+	_, err := c.Lookup(t.Context(), address, &linkpb.LookupRequest{}) // opens the connection
+	is.NoErr(err)
+	var group sync.WaitGroup
+	errs := make(chan error, forwards)
+	for range forwards {
+		group.Go(func() {
+			_, err := c.Forward(t.Context(), address, testForward(make([]byte, 1000)))
+			errs <- err
+		})
+	}
+	asked.Wait()
+	close(release)
+	group.Wait()
+	for range forwards {
+		is.NoErr(<-errs)
+	}
+	is.Equal(counter.connections.Load(), int64(1))
+}
--- a/link/server.go
+++ b/link/server.go
@@ -22,6 +22,13 @@
 // headerTimeout bounds the time in which a peer sends the headers of a request.
 const headerTimeout = 5 * time.Second
 
+// Bounds of one connection. Forwards wait for their answers, so many are in progress at a time; net/http allows 250,
+// beyond which a peer would open further connections.
+const (
+	maxStreams       = 4096
+	connectionBuffer = 8 << 20 // bytes of requests that were not read yet
+)
+
 // Handler answers the requests of peers; its methods are called from many goroutines.
 type Handler interface {
 	// Exchange takes a batch of a peer and returns the batch for it.
@@ -55,7 +62,12 @@
 		connect.WithReadMaxBytes(config.MaxMessage), connect.WithCompressMinBytes(compressMin)))
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{http: &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout}}
+	return &Server{http: &http.Server{
+		Handler:           mux,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: connectionBuffer},
+	}}
 }
 
 // Serve answers peers on the listener until Shutdown.
