--- a/link/bytes_test.go
+++ b/link/bytes_test.go
@@ -59,14 +59,19 @@
 		demand.Queued = append(demand.Queued, 30*flow)
 		demand.Running = append(demand.Running, flow)
 	}
-	const now, epoch = 1_764_826_164_123_456_789, 1_764_826_164_123
-	batch.Services = []*linkpb.ServiceBatch{{Service: "blank-sorting", Demand: demand, Slots: []*linkpb.SlotMessage{
-		{Body: &linkpb.SlotMessage_Renew{Renew: &linkpb.Renew{Epoch: epoch, Sent: now, Through: 123456, Held: 14, Sum: 1728000}}},
-		{Body: &linkpb.SlotMessage_Want{Want: &linkpb.Want{Sent: now, Count: 12}}},
-		{Body: &linkpb.SlotMessage_Lend{Lend: &linkpb.Lend{Epoch: epoch, Wanted: now, First: 123457, Groups: []*linkpb.Group{
-			{Endpoint: "executor-17", Count: 2}, {Endpoint: "executor-23", Count: 1},
-		}}}},
-	}}}
+	batch.Services = []*linkpb.ServiceBatch{{
+		Service: "blank-sorting", Demand: demand,
+		Slots: []*linkpb.SlotMessage{
+			{Body: &linkpb.SlotMessage_Renew{Renew: &linkpb.Renew{
+				Epoch: 1764826164123 << 16, Sent: 3600000, Through: 123456, Held: 12, Sum: 1481472,
+			}}},
+			{Body: &linkpb.SlotMessage_Want{Want: &linkpb.Want{Sent: 3600000, Count: 12}}},
+			{Body: &linkpb.SlotMessage_Lend{Lend: &linkpb.Lend{
+				Epoch: 1764826164123 << 16, Wanted: 3600000, First: 123457,
+				Groups: []*linkpb.Group{{Endpoint: "executor-17", Count: 1}, {Endpoint: "executor-23", Count: 1}},
+			}}},
+		},
+	}}
 	return batch
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -140,6 +140,7 @@
 		is.True(errors.As(err, &failed))
 		is.Equal(failed.Sent, true)
 		is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded) // found by the client, or by the peer in the same moment
+		is.True(errors.Is(err, context.DeadlineExceeded))
 	})
 	t.Run("broken after send", func(t *testing.T) {
 		is := is.New(t)
