Test slow answers and connections closed before the task was read

An endpoint that answers byte by byte within the timeout succeeds; one that closes at once gets no second connection.

--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -80,6 +80,18 @@
 	}
 }
 
+// dribble writes the text in single bytes.
+func dribble(text string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		for _, b := range []byte(strings.ReplaceAll(strings.ReplaceAll(text, "\n", "\r\n"), "<id>", r.Header.Get(HeaderTaskID))) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 func writeAndClose(text string) script {
 	return func(c net.Conn, r *http.Request) bool {
 		write(text)(c, r)
@@ -122,6 +134,7 @@
 		{"chunked", write("HTTP/1.1 200 OK\nTask-Id: <id>\nTransfer-Encoding: chunked\n\n2\n{}\n0\n\n"), Succeeded, true},
 		{"no content", write("HTTP/1.1 204 No Content\nTask-Id: <id>\n\n"), Succeeded, true},
 		{"interim answer first", write("HTTP/1.1 103 Early Hints\nLink: x\n\n" + good), Succeeded, true},
+		{"slow, byte by byte", dribble(good), Succeeded, true},
 		{"close announced", writeAndClose("HTTP/1.1 200 OK\nConnection: close\nTask-Id: <id>\nContent-Length: 2\n\n{}"), Succeeded, false},
 		{"rejected", write("HTTP/1.1 422 No\nTask-Id: <id>\nContent-Length: 0\n\n"), Rejected, true},
 		{"failed", write("HTTP/1.1 500 No\nTask-Id: <id>\nContent-Length: 0\n\n"), Failed, false},
@@ -211,6 +224,29 @@
 		_, idle := c.Connections(e.address)
 		is.Equal(idle, 0)
 	})
+	t.Run("closes before reading", func(t *testing.T) {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		connections := 0
+		var group sync.WaitGroup
+		group.Go(func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				connections++
+				_ = c.Close()
+			}
+		})
+		response := testClient(t, ClientConfig{}).Send(context.Background(), testRequest(listener.Addr().String()))
+		is.NoErr(listener.Close())
+		group.Wait()
+		// NotSent only if the close came before the first byte was written.
+		is.True(response.Result == Unknown || response.Result == NotSent)
+		is.Equal(connections, 1) // not sent again
+	})
 	t.Run("caller of Send gives up", func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
