--- a/caller/server.go
+++ b/caller/server.go
@@ -144,7 +144,7 @@
 	case path == "/v1/tickets":
 		s.only(ctx, fasthttp.MethodPost, s.bounded(s.tickets))
 	case path == "/livez":
-		ctx.SetBodyString("ok\n")
+		writeText(ctx, fasthttp.StatusOK, "ok")
 	case path == "/readyz":
 		s.readyz(ctx)
 	case path == "/metrics" && s.config.Metrics != nil:
@@ -183,11 +183,16 @@
 		err = errors.New("stopping")
 	}
 	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		ctx.SetBodyString(err.Error() + "\n")
+		writeText(ctx, fasthttp.StatusServiceUnavailable, err.Error())
 		return
 	}
-	ctx.SetBodyString("ok\n")
+	writeText(ctx, fasthttp.StatusOK, "ok")
+}
+
+func writeText(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(text + "\n")
 }
 
 // handleReadError answers a request that could not be read; nothing of it was passed on.
