Bound each call of the store instead of a call with its settling

Cause: the swap of the head and the read that settles a lost answer shared one timeout. With a store that takes 0.7 s per call and a timeout of 1 s, no lost answer could be settled, and the operator was told to look for the publication.

Durations in reports and plans lose trailing zero units.

--- a/cmd/samphireplank/force.go
+++ b/cmd/samphireplank/force.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	askInterval = 200 * time.Millisecond
-	askTimeout  = time.Second
+	// Entry VMs usually have a set in force within 50 ms; the pause between rounds starts shorter than that and doubles.
+	firstAskPause = 20 * time.Millisecond
+	lastAskPause  = 500 * time.Millisecond
+	askTimeout    = time.Second
 	// maxAsking bounds concurrent requests to entry VMs.
 	maxAsking = 32
 	// maxStatusSize bounds the answer of an entry VM in bytes.
@@ -65,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	failure := &notInForceError{generation: generation}
-	for {
+	for pause := firstAskPause; ; pause = min(2*pause, lastAskPause) {
 		vms, listErr := entryVMs(ctx, directory)
 		statuses := askAll(ctx, vms)
 		// A round that the end of the wait interrupted says less than the one before it.
@@ -82,7 +84,7 @@
 		case <-ctx.Done():
 			failure.vms = notIn
 			return in, notIn, failure
-		case <-time.After(askInterval):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/cmd/samphireplank/publish.go
+++ b/cmd/samphireplank/publish.go
@@ -36,6 +36,7 @@
 	Record     publication.Record `json:"record"`
 	InForce    []vmStatus         `json:"in-force"`
 	NotInForce []vmStatus         `json:"not-in-force"`
+	Waited     string             `json:"waited"` // a duration
 }
 
 // Run publishes the set unless it is the last one published, and waits for it in both cases.
@@ -66,9 +67,11 @@
 func waitAndPrint(ctx context.Context, e *environment, client platformClient, r publishResult, wait time.Duration) error {
 	e.Log.Debug().Str("event", "published").Uint64("generation", r.Record.Generation).Bool("new", r.Published).Send()
 	var waitErr error
+	started := time.Now()
 	if wait > 0 {
 		r.InForce, r.NotInForce, waitErr = waitInForce(ctx, client, r.Record.Generation, wait)
 	}
+	r.Waited = time.Since(started).Round(time.Millisecond).String()
 	if err := e.print(r, func(w io.Writer) { printPublished(w, r, wait > 0) }); err != nil {
 		return err
 	}
@@ -84,7 +87,7 @@
 	if !waited {
 		return
 	}
-	fmt.Fprintf(w, "In force on %d of %d entry VMs\n", len(r.InForce), len(r.InForce)+len(r.NotInForce))
+	fmt.Fprintf(w, "In force on %d of %d entry VMs after %s\n", len(r.InForce), len(r.InForce)+len(r.NotInForce), r.Waited)
 	for _, vm := range r.NotInForce {
 		fmt.Fprintln(w, "  not in force:", vm)
 	}
--- a/contract/check.go
+++ b/contract/check.go
@@ -150,7 +150,7 @@
 		c.add(i.problem("attempts", fmt.Sprint(o.Attempts), "more than one attempt for a kind that is not idempotent", "1, or idempotent: true"))
 	}
 	if !i.faulty["run-time"] && !i.faulty["deadline"] && o.RunTime > o.Deadline {
-		c.add(i.problem("run-time", o.RunTime.String(), "run time exceeds the deadline", "at most "+o.Deadline.String()))
+		c.add(i.problem("run-time", durationText(o.RunTime), "run time exceeds the deadline", "at most "+durationText(o.Deadline)))
 	}
 }
 
--- a/contract/schema.go
+++ b/contract/schema.go
@@ -158,11 +158,23 @@
 	case *bool:
 		return fmt.Sprint(*value)
 	case *time.Duration:
-		return value.String()
+		return durationText(*value)
 	}
 	panic("field " + f.name + " has a type without a text form")
 }
 
+// durationText is the text of a duration without trailing zero units, such as 1h instead of 1h0m0s.
+func durationText(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
 // allowed says which values the field accepts.
 func (f field) allowed(object any) string {
 	switch f.at(object).(type) {
@@ -176,7 +188,7 @@
 	case *bool:
 		return "true or false"
 	case *time.Duration:
-		return fmt.Sprintf("a duration from %v to %v", time.Duration(f.min), time.Duration(f.max))
+		return fmt.Sprintf("a duration from %s to %s", durationText(time.Duration(f.min)), durationText(time.Duration(f.max)))
 	}
 	panic("field " + f.name + " has a type without a rule")
 }
--- a/publication/history.go
+++ b/publication/history.go
@@ -10,7 +10,7 @@
 
 // History returns the record in force and up to MaxHistory records before it, newest first.
 func (p *Publisher) History(ctx context.Context) ([]Record, error) {
-	head, _, err := p.readHead(ctx)
+	head, _, err := ReadHead(ctx, p.store)
 	if err != nil || head.Generation == 0 {
 		return nil, err
 	}
@@ -35,7 +35,7 @@
 func (p *Publisher) Restore(ctx context.Context, generation uint64, reason string) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.SettleTimeout)
 	defer cancel()
-	head, version, err := p.readHead(ctx)
+	head, version, err := ReadHead(ctx, p.store)
 	if err != nil {
 		return Record{}, err
 	}
@@ -43,7 +43,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	set, err := p.readSet(ctx, record.Digest)
+	set, err := readSet(ctx, p.store, record.Digest)
 	if err != nil {
 		return Record{}, err
 	}
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -34,7 +34,8 @@
 // Publisher publishes sets on behalf of one author.
 type Publisher struct {
 	config  Config
-	history int // earlier records that a new head keeps
+	store   platform.Store // with a bound on each call
+	history int            // earlier records that a new head keeps
 }
 
 // New returns a publisher.
@@ -48,7 +49,8 @@
 	if config.SettleTimeout == 0 {
 		config.SettleTimeout = defaultSettleTimeout
 	}
-	return &Publisher{config: config, history: MaxHistory}
+	store := timedStore{Store: config.Store, timeout: config.CallTimeout}
+	return &Publisher{config: config, store: store, history: MaxHistory}
 }
 
 // RaceError means that another publication came first; nothing of the refused one is in force.
@@ -84,7 +86,7 @@
 func (p *Publisher) Publish(ctx context.Context, set *contract.Set, reason string) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.SettleTimeout)
 	defer cancel()
-	head, version, err := p.readHead(ctx)
+	head, version, err := ReadHead(ctx, p.store)
 	if err != nil {
 		return Record{}, err
 	}
@@ -145,7 +147,7 @@
 	if a.head.Generation == 0 || a.head.Digest == a.next.Digest {
 		return nil
 	}
-	previous, err := p.readSet(ctx, a.head.Digest)
+	previous, err := readSet(ctx, p.store, a.head.Digest)
 	if err != nil {
 		return nil // entry VMs read the whole set, and a new one can replace one that is lost
 	}
@@ -164,12 +166,12 @@
 // a write with a lost answer is repeated until one is acknowledged: equal data may be another publisher's write.
 func (p *Publisher) write(ctx context.Context, a *attempt, key string, data []byte) error {
 	a.written = append(a.written, key)
-	return p.retry(ctx, func(ctx context.Context) error {
-		value, err := p.config.Store.Get(ctx, key)
+	return retry(ctx, func() error {
+		value, err := p.store.Get(ctx, key)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		_, err = p.config.Store.CompareAndSwap(ctx, key, value.Version, data)
+		_, err = p.store.CompareAndSwap(ctx, key, value.Version, data)
 		return err
 	})
 }
@@ -177,12 +179,12 @@
 // swapHead writes the head and finds out what became of it when the answer is lost. Writing the same record again at
 // the same version is safe: at most one of the writes takes effect, and all of them carry the same publish id.
 func (p *Publisher) swapHead(ctx context.Context, a *attempt) error {
-	err := p.retry(ctx, func(ctx context.Context) error {
+	err := retry(ctx, func() error {
 		data, err := a.next.Encode()
 		if err != nil {
 			return err
 		}
-		_, swapErr := p.config.Store.CompareAndSwap(ctx, HeadKey, a.version, data)
+		_, swapErr := p.store.CompareAndSwap(ctx, HeadKey, a.version, data)
 		if swapErr == nil || errors.Is(swapErr, platform.ErrValueTooLarge) {
 			return swapErr
 		}
@@ -207,7 +209,7 @@
 
 // settle reads the head back after a swap without a clear answer.
 func (p *Publisher) settle(ctx context.Context, a *attempt, swapErr error) error {
-	head, version, err := ReadHead(ctx, p.config.Store)
+	head, version, err := ReadHead(ctx, p.store)
 	if err != nil {
 		return errors.Join(swapErr, err)
 	}
@@ -226,12 +228,10 @@
 }
 
 // retry repeats a call with growing pauses until it succeeds, is refused for good, or ctx ends.
-func (p *Publisher) retry(ctx context.Context, call func(context.Context) error) error {
+func retry(ctx context.Context, call func() error) error {
 	pause := firstPause
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-		err := call(callCtx)
-		cancel()
+		err := call()
 		var race *RaceError
 		if err == nil || errors.As(err, &race) || errors.Is(err, platform.ErrValueTooLarge) {
 			return err
@@ -244,21 +244,3 @@
 		pause = min(2*pause, longestPause)
 	}
 }
-
-func (p *Publisher) readHead(ctx context.Context) (Head, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	return ReadHead(ctx, p.config.Store)
-}
-
-func (p *Publisher) get(ctx context.Context, key string) (platform.Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	return p.config.Store.Get(ctx, key)
-}
-
-func (p *Publisher) readSet(ctx context.Context, digest contract.Digest) (*contract.Set, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-	defer cancel()
-	return readSet(ctx, p.config.Store, digest)
-}
--- a/publication/publish_test.go
+++ b/publication/publish_test.go
@@ -183,6 +183,21 @@
 	is.True(!errors.As(err, &outOfReach)) // the head was never written, so this one is certain
 }
 
+// Guards against a store so slow that no time is left to settle a lost answer.
+func TestPublishToSlowStore(t *testing.T) { synctest.Test(t, publishToSlowStore) }
+
+func publishToSlowStore(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore(4)
+	store.set(faults{lost: 0.5, before: func(string, string, uint64) { time.Sleep(700 * time.Millisecond) }})
+	publisher := New(Config{Store: store, Author: "mari", CallTimeout: time.Second, SettleTimeout: time.Minute})
+	for generation := range uint64(10) {
+		record, err := publisher.Publish(t.Context(), testSet(1000), "slow")
+		is.NoErr(err)
+		is.Equal(record.Generation, generation+1)
+	}
+}
+
 // Guards against sending an operator to look for a publication that certainly did not take effect.
 func TestPublishWithoutEffect(t *testing.T) { synctest.Test(t, testPublishWithoutEffect) }
 
--- a/publication/retire.go
+++ b/publication/retire.go
@@ -37,7 +37,7 @@
 	earlier := a.head.Retired
 	later := earlier[min(len(earlier), retiredPerPublication):]
 	for _, key := range appendRetired(a.next, append(dropped, earlier[:len(earlier)-len(later)]...)) {
-		value, err := p.get(ctx, key)
+		value, err := p.store.Get(ctx, key)
 		if errors.Is(err, platform.ErrNotFound) {
 			continue
 		}
@@ -64,9 +64,7 @@
 // deleteStale leaves failures to the next publication, which finds the keys in the head.
 func (p *Publisher) deleteStale(ctx context.Context, stale []staleKey) {
 	for _, s := range stale {
-		callCtx, cancel := context.WithTimeout(ctx, p.config.CallTimeout)
-		_ = p.config.Store.Delete(callCtx, s.key, s.version)
-		cancel()
+		_ = p.store.Delete(ctx, s.key, s.version)
 	}
 }
 
@@ -80,8 +78,8 @@
 	ctx, cancel := context.WithTimeout(ctx, abandonTimeout)
 	defer cancel()
 	// The refusal stands whether or not the keys could be handed over; in the worst case a set stays in the store.
-	_ = p.retry(ctx, func(ctx context.Context) error {
-		head, version, err := ReadHead(ctx, p.config.Store)
+	_ = retry(ctx, func() error {
+		head, version, err := ReadHead(ctx, p.store)
 		if err != nil {
 			return err
 		}
@@ -94,7 +92,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = p.config.Store.CompareAndSwap(ctx, HeadKey, version, data)
+		_, err = p.store.CompareAndSwap(ctx, HeadKey, version, data)
 		return err
 	})
 }
