--- a/queue/queue.go
+++ b/queue/queue.go
@@ -95,6 +95,7 @@
 	if _, known := q.jobs[item.Job]; known {
 		return ErrDuplicate
 	}
+	q.advance(now)
 	q.arrival = max(q.arrival, now.UnixNano())
 	q.counter++
 	f := q.flow(item.Flow)
@@ -129,11 +130,7 @@
 	e, index := f.take()
 	q.addQueued(f, -1)
 	q.addRunning(f, 1)
-	f.virtual += startCost * f.inverse()
-	q.relevel(f)
-	if e.waiting() == 0 {
-		q.expiry.remove(e)
-	}
+	q.started(f)
 	return Task{Job: e.id, Flow: f.name, Index: index}, true
 }
 
@@ -153,9 +150,6 @@
 	f.putBack(e, task.Index)
 	q.addQueued(f, 1)
 	q.relevel(f)
-	if !e.deadline.IsZero() {
-		q.expiry.add(e, e.deadline)
-	}
 }
 
 // Done counts a running task of the flow as ended.
@@ -182,7 +176,7 @@
 	return waiting
 }
 
-// Expired removes the jobs with queued tasks whose deadline has passed and appends their ids to out.
+// Expired removes the jobs whose deadline has passed, with or without queued tasks, and appends their ids to out.
 func (q *Queue) Expired(now time.Time, out []job.ID) []job.ID {
 	q.advance(now)
 	for _, e := range q.expiry.expired(now) {
@@ -222,12 +216,11 @@
 	if f, known := q.flows[name]; known {
 		return f
 	}
-	f := &flow{name: name, ageing: int64(q.ageing), position: -1}
+	f := &flow{name: name, ageing: int64(q.ageing), position: -1, settled: q.fair.seconds}
 	q.flows[name] = f
 	at, _ := slices.BinarySearchFunc(q.sorted, name, func(f *flow, name Flow) int { return f.name.Compare(name) })
 	q.sorted = slices.Insert(q.sorted, at, f)
 	q.rules.apply(f)
-	f.entitle()
 	return f
 }
 
@@ -256,6 +249,9 @@
 		return
 	}
 	f.running += count
+	if count < 0 {
+		q.ended(f)
+	}
 	q.relevel(f)
 	for _, l := range f.limits {
 		l.running += count
@@ -264,10 +260,10 @@
 
 func (q *Queue) activate(f *flow) {
 	f.position = len(q.active)
-	f.virtual = max(f.virtual, q.fair.virtual)
+	f.virtual = max(f.virtual, q.fair.virtual-mostCredit)
 	q.active = append(q.active, f)
 	q.levels = append(q.levels, 0)
-	q.reweigh(f.class, f.weight)
+	f.class.weight += f.weight
 }
 
 func (q *Queue) deactivate(f *flow) {
@@ -278,5 +274,5 @@
 	q.active[last] = nil
 	q.active, q.levels = q.active[:last], q.levels[:last]
 	f.position = -1
-	q.reweigh(f.class, -f.weight)
+	f.class.weight -= f.weight
 }
