Keep directories of example sets free of other files

Cause: examples/demo/profile.yaml is a load profile, and commands read all .yaml files of a directory, so "samphireplank check examples/demo" was refused and TestExamples failed.

Weighed: naming objects.yaml in the test hides what an operator sees; skipping files that are not objects would let a misspelt object file pass. Chosen: the profile moves to examples/profiles, where the other profiles are.

Conclusion: go test -race of contract, publication, cmd/samphireplank and load passes; check accepts all three examples.

--- a/contract/change.go
+++ b/contract/change.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"strconv"
 )
 
 // Change is the difference between two sets, which are named by their digests.
@@ -123,7 +122,7 @@
 		return Change{}, fmt.Errorf("decode change: %w", err)
 	}
 	if !raw.From.Valid() || !raw.To.Valid() {
-		return Change{}, fmt.Errorf("decode change: digests %s and %s are not both valid", strconv.Quote(string(raw.From)), strconv.Quote(string(raw.To)))
+		return Change{}, fmt.Errorf("decode change: digests %q and %q are not both valid", raw.From, raw.To)
 	}
 	added, err := decodeObjects(raw.Added)
 	if err != nil {
--- a/contract/check.go
+++ b/contract/check.go
@@ -138,7 +138,8 @@
 	switch o := i.object.(type) {
 	case *Service:
 		if !i.faulty["connections"] && !i.faulty["slots"] && o.Connections < o.Slots {
-			c.add(i.problem("connections", fmt.Sprint(o.Connections), "fewer connections than slots", fmt.Sprintf("at least %d", o.Slots)))
+			allowed := fmt.Sprintf("at least %d", o.Slots)
+			c.add(i.problem("connections", fmt.Sprint(o.Connections), "fewer connections than slots", allowed))
 		}
 	case *Kind:
 		c.checkKind(i, o)
@@ -162,7 +163,8 @@
 			continue
 		}
 		if circle := c.circle(limit.Name); circle != nil && slices.Min(circle) == limit.Name {
-			c.add(i.problem("parent", shorten(limit.Parent), "circular parents: "+shorten(strings.Join(circle, " -> ")), "a limit that is not under this one"))
+			reason := "circular parents: " + shorten(strings.Join(circle, " -> "))
+			c.add(i.problem("parent", shorten(limit.Parent), reason, "a limit that is not under this one"))
 		}
 	}
 }
@@ -207,13 +209,19 @@
 		return
 	}
 	if sum != 100 {
-		c.add(first.problem("share", fmt.Sprint(sum), "shares don't add up: "+shorten(strings.Join(shares, ", ")), "a sum of 100 over all priorities"))
+		reason := "shares don't add up: " + shorten(strings.Join(shares, ", "))
+		c.add(first.problem("share", fmt.Sprint(sum), reason, "a sum of 100 over all priorities"))
 	}
 }
 
 func (c *checker) checkSize() {
 	if size := len(appendItems(nil, c.items)); size > MaxSetSize {
-		c.add(Problem{Object: "set", Value: fmt.Sprintf("%d bytes", size), Reason: "canonical form too large", Allowed: fmt.Sprintf("at most %d bytes", MaxSetSize)})
+		c.add(Problem{
+			Object:  "set",
+			Value:   fmt.Sprintf("%d bytes", size),
+			Reason:  "canonical form too large",
+			Allowed: fmt.Sprintf("at most %d bytes", MaxSetSize),
+		})
 	}
 }
 
--- a/contract/read.go
+++ b/contract/read.go
@@ -69,7 +69,8 @@
 	r.file = file.Name
 	if len(file.Data) > MaxFileSize {
 		r.unread = true
-		r.add(1, Problem{Value: fmt.Sprintf("%d bytes", len(file.Data)), Reason: "file too large", Allowed: fmt.Sprintf("at most %d bytes", MaxFileSize)})
+		size, allowed := fmt.Sprintf("%d bytes", len(file.Data)), fmt.Sprintf("at most %d bytes", MaxFileSize)
+		r.add(1, Problem{Value: size, Reason: "file too large", Allowed: allowed})
 		return
 	}
 	tree, err := parser.ParseBytes(file.Data, 0, parser.AllowDuplicateMapKey())
@@ -162,25 +163,30 @@
 
 func (r *reader) readFields(i item, values []*ast.MappingValueNode, selected func(string) bool) {
 	for _, v := range values {
-		name := keyOf(v)
-		if !selected(name) {
-			continue
-		}
-		f, known := i.schema.field(name)
-		if !known {
-			r.add(lineOf(v), Problem{Object: i.title(), Field: shorten(name), Value: valueOf(v.Value), Reason: "unknown field", Allowed: i.schema.fieldNames()})
-			continue
-		}
-		if _, given := i.lines[name]; given {
-			r.add(lineOf(v), Problem{Object: i.title(), Field: name, Value: valueOf(v.Value), Reason: "duplicate field", Allowed: "each field once"})
-			continue
+		if name := keyOf(v); selected(name) {
+			r.readField(i, name, v)
 		}
+	}
+}
+
+func (r *reader) readField(i item, name string, v *ast.MappingValueNode) {
+	problem := Problem{Object: i.title(), Field: shorten(name), Value: valueOf(v.Value)}
+	f, known := i.schema.field(name)
+	_, given := i.lines[name]
+	switch {
+	case !known:
+		problem.Reason, problem.Allowed = "unknown field", i.schema.fieldNames()
+	case given:
+		problem.Reason, problem.Allowed = "duplicate field", "each field once"
+	default:
 		i.lines[name] = lineOf(v)
-		if !readValue(v.Value, f.at(i.object)) {
-			i.faulty[name] = true
-			r.add(lineOf(v), Problem{Object: i.title(), Field: name, Value: valueOf(v.Value), Reason: "wrong type", Allowed: f.allowed(i.object)})
+		if readValue(v.Value, f.at(i.object)) {
+			return
 		}
+		i.faulty[name] = true
+		problem.Reason, problem.Allowed = "wrong type", f.allowed(i.object)
 	}
+	r.add(lineOf(v), problem)
 }
 
 func (r *reader) findMissing(i item) {
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -10,5 +10,5 @@
 
 // DemoProfile is the load profile of the demonstration.
 //
-//go:embed demo/profile.yaml
+//go:embed profiles/demo.yaml
 var DemoProfile []byte
--- a/publication/head.go
+++ b/publication/head.go
@@ -82,7 +82,8 @@
 
 func (h Head) check() error {
 	if len(h.History) > MaxHistory || len(h.Retired) > maxRetired {
-		return fmt.Errorf("%d earlier records and %d retired keys, at most %d and %d are allowed", len(h.History), len(h.Retired), MaxHistory, maxRetired)
+		return fmt.Errorf("%d earlier records and %d retired keys, at most %d and %d are allowed",
+			len(h.History), len(h.Retired), MaxHistory, maxRetired)
 	}
 	expected := h.Generation
 	for _, r := range h.Records() {
