Test publish over the platform's protocol with lost answers

Cause: lost answers were tested with the in-memory store only; the client has its own rules for uncertain writes.

--- a/cmd/samphireplank/operator_test.go
+++ b/cmd/samphireplank/operator_test.go
@@ -156,3 +156,23 @@
 func (unlistedFleet) VMs(context.Context, uint64) (platform.List, error) {
 	return platform.List{}, errors.New("no answer")
 }
+
+// Guards against publications that are lost, doubled or reported as failed when the platform's answers get lost on the
+// way through its real protocol.
+func TestPublishWithLostAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.platform.SetFaults(standin.PlatformFaults{LoseAnswer: 0.5, Seed: 1})
+	const publications = 20
+	for n := range publications {
+		name := variant(t, "queue: 20000", fmt.Sprintf("queue: %d", 1000+n))
+		code, output := f.run("publish", "--author", "mari", "--reason", "lost answers", name)
+		if code != exitDone {
+			t.Fatalf("publication %d: exit code %d: %s", n, code, output)
+		}
+	}
+	records, err := publication.New(publication.Config{Store: f.platform.Memory()}).History(t.Context())
+	is.NoErr(err)
+	is.Equal(len(records), publications)
+	is.True(f.platform.Counts().LostAnswers > publications)
+}
