Reduce the cost of Allocate

Weighed: reusing buffers between calls would need a type with state in place of the function; the allocations that are left hold the result.

Change: one pass over the demands per flow, one array for all targets, no search per flow in the sorted set.

--- a/queue/allocate.go
+++ b/queue/allocate.go
@@ -71,18 +71,14 @@
 	}
 	merged := make([]zoneDemand, 0, longest)
 	tasks := make([]vmTasks, 0, longest*vms)
-	for {
-		first := firstFlow(rest)
-		if first == nil {
-			return merged
-		}
+	for first := firstFlow(rest); first != nil; first = firstFlow(rest) {
 		z := zoneDemand{flow: first.Flow}
 		start := len(tasks)
 		for vm := range rest {
 			var t vmTasks
-			for len(rest[vm]) > 0 && rest[vm][0].Flow == z.flow {
-				t.total += rest[vm][0].Queued + rest[vm][0].Running
-				t.running += rest[vm][0].Running
+			if len(rest[vm]) > 0 && rest[vm][0].Flow == z.flow {
+				t.total = rest[vm][0].Queued + rest[vm][0].Running
+				t.running = rest[vm][0].Running
 				rest[vm] = rest[vm][1:]
 			}
 			tasks = append(tasks, t)
@@ -91,13 +87,14 @@
 		z.vms = tasks[start:len(tasks):len(tasks)]
 		merged = append(merged, z)
 	}
+	return merged
 }
 
 // firstFlow returns the first of the demands at the front of the lists.
 func firstFlow(lists [][]Demand) *Demand {
 	var first *Demand
 	for _, l := range lists {
-		if len(l) > 0 && (first == nil || l[0].Flow != first.Flow && l[0].Flow.Compare(first.Flow) < 0) {
+		if len(l) > 0 && (first == nil || l[0].Flow.Compare(first.Flow) < 0) {
 			first = &l[0]
 		}
 	}
@@ -108,19 +105,22 @@
 func (a *allocation) split(demands []VMDemand) []VMTargets {
 	out := make([]VMTargets, len(demands))
 	shares := make([]LimitShare, len(a.limits)*len(demands))
+	targets := make([]Target, len(a.flows)*len(demands))
 	for vm, d := range demands {
-		first := vm * len(a.limits)
-		out[vm] = VMTargets{VM: d.VM, Flows: make([]Target, 0, len(d.Flows)), Limits: shares[first : first+len(a.limits)]}
+		first, next := vm*len(a.limits), (vm+1)*len(a.limits)
+		start, end := vm*len(a.flows), (vm+1)*len(a.flows)
+		out[vm] = VMTargets{VM: d.VM, Flows: targets[start:start:end], Limits: shares[first:next:next]}
 	}
 	usage := newLimitUsage(len(a.limits), len(demands))
 	totals := make([]int, len(demands))
 	for i := range a.flows {
 		f := &a.flows[i]
+		part := f.slots / float64(max(f.demand.total, 1))
 		for vm, t := range f.demand.vms {
 			if t.total <= 0 {
 				continue
 			}
-			slots := f.slots * float64(t.total) / float64(f.demand.total)
+			slots := part * float64(t.total)
 			out[vm].Slots += slots
 			out[vm].Flows = append(out[vm].Flows, Target{Flow: f.demand.flow, Slots: slots})
 			usage.add(a, f.limit, vm, slots, t)
@@ -154,11 +154,13 @@
 	slots   []float64
 	demand  []int
 	running []int
+	shares  []int // result of divide
+	order   []int
 }
 
 func newLimitUsage(limits, vms int) *limitUsage {
 	n := limits * vms
-	return &limitUsage{vms: vms, slots: make([]float64, n), demand: make([]int, n), running: make([]int, n)}
+	return &limitUsage{vms: vms, slots: make([]float64, n), demand: make([]int, n), running: make([]int, n), shares: make([]int, vms), order: make([]int, vms)}
 }
 
 func (u *limitUsage) add(a *allocation, limit, vm int, slots float64, t vmTasks) {
@@ -171,7 +173,8 @@
 }
 
 // divide splits a quota over the VMs in whole slots. The slots left over by rounding down go to the VMs that run the
-// fewest in relation to their part, so that a quota of fewer slots than VMs goes round.
+// fewest in relation to their part, so that a quota of fewer slots than VMs goes round. The result is valid until
+// the next call.
 func (u *limitUsage) divide(limit int, quota float64) []int {
 	first := limit * u.vms
 	slots, demand, running := u.slots[first:first+u.vms], u.demand[first:first+u.vms], u.running[first:first+u.vms]
@@ -180,8 +183,7 @@
 		rest -= slots[vm]
 		weight += float64(demand[vm])
 	}
-	shares := make([]int, u.vms)
-	order := make([]int, u.vms)
+	shares, order := u.shares, u.order
 	for vm := range slots {
 		slots[vm] += max(0, rest) * float64(demand[vm]+1) / weight
 		shares[vm] = min(int(slots[vm]+tolerance), free)
--- a/queue/fill.go
+++ b/queue/fill.go
@@ -30,6 +30,7 @@
 	group  int
 	limit  int // -1 for none
 	weight float64
+	end    float64 // level at which the demand is met
 	slots  float64
 	closed bool
 }
@@ -67,7 +68,12 @@
 		a.addFlow(finder, &demands[i])
 	}
 	for i := range a.groups {
-		slices.SortStableFunc(a.groups[i].order, func(x, y int) int { return cmp.Compare(a.flows[x].end(), a.flows[y].end()) })
+		slices.SortFunc(a.groups[i].order, func(x, y int) int {
+			if a.flows[x].end != a.flows[y].end {
+				return cmp.Compare(a.flows[x].end, a.flows[y].end)
+			}
+			return x - y
+		})
 	}
 	return a
 }
@@ -148,6 +154,7 @@
 	if team < 0 || priority < 0 {
 		f.group, f.weight = len(a.groups)-1, 1
 	}
+	f.end = float64(d.total) / f.weight
 	if !f.closed {
 		g := &a.groups[f.group]
 		if g.order == nil {
@@ -160,9 +167,6 @@
 	a.flows = append(a.flows, f)
 }
 
-// end is the level at which the demand of the flow is met.
-func (f *allocationFlow) end() float64 { return float64(f.demand.total) / f.weight }
-
 // weigh changes the weight of the open flows in the priority and the limits of a flow.
 func (a *allocation) weigh(f *allocationFlow, change float64) {
 	a.groups[f.group].weight += change
@@ -193,7 +197,7 @@
 		}
 		total += g.share
 		g.rate = g.share / g.weight
-		length = min(length, (a.flows[g.order[0]].end()-g.level)/g.rate)
+		length = min(length, (a.flows[g.order[0]].end-g.level)/g.rate)
 	}
 	for i := range a.limits {
 		l := &a.limits[i]
@@ -217,7 +221,7 @@
 	for i := range a.groups {
 		g := &a.groups[i]
 		g.level += length * g.rate
-		for len(g.order) > 0 && a.flows[g.order[0]].end() <= g.level*(1+tolerance) {
+		for len(g.order) > 0 && a.flows[g.order[0]].end <= g.level*(1+tolerance) {
 			f := &a.flows[g.order[0]]
 			a.close(f, float64(f.demand.total))
 		}
