--- a/queue/queue.go
+++ b/queue/queue.go
@@ -65,6 +65,7 @@
 	rules   *rules
 	flows   map[Flow]*flow
 	sorted  []*flow   // all flows by Flow.Compare
+	queued  int       // tasks of all flows
 	active  []*flow   // flows with queued tasks, in no particular order
 	levels  []float64 // of the active flows; contiguous because every decision scans it
 	jobs    map[job.ID]*entry
@@ -130,9 +131,6 @@
 	q.addQueued(f, -1)
 	q.addRunning(f, 1)
 	q.started(f)
-	if e.waiting() == 0 {
-		q.expiry.remove(e)
-	}
 	return Task{Job: e.id, Flow: f.name, Index: index}, true
 }
 
@@ -152,9 +150,6 @@
 	f.putBack(e, task.Index)
 	q.addQueued(f, 1)
 	q.relevel(f)
-	if !e.deadline.IsZero() {
-		q.expiry.add(e, e.deadline)
-	}
 }
 
 // Done counts a running task of the flow as ended.
@@ -181,7 +176,7 @@
 	return waiting
 }
 
-// Expired removes the jobs with queued tasks whose deadline has passed and appends their ids to out.
+// Expired removes the jobs whose deadline has passed, with or without queued tasks, and appends their ids to out.
 func (q *Queue) Expired(now time.Time, out []job.ID) []job.ID {
 	q.advance(now)
 	for _, e := range q.expiry.expired(now) {
@@ -201,6 +196,9 @@
 	return out
 }
 
+// Queued returns the number of queued tasks of all flows.
+func (q *Queue) Queued() int { return q.queued }
+
 // QueuedAhead returns the number of queued tasks that compete with a new job of the flow for the same slots.
 func (q *Queue) QueuedAhead(name Flow) int {
 	rank := q.rules.rank(name.Priority)
@@ -231,6 +229,7 @@
 	if count == 0 {
 		return
 	}
+	q.queued += count
 	f.queued += count
 	f.class.queued += count
 	for _, l := range f.limits {
