--- a/queue/queue.go
+++ b/queue/queue.go
@@ -134,7 +134,7 @@
 	return Task{Job: e.id, Flow: f.name, Index: index}, true
 }
 
-// Requeue takes back a task that Next handed out and that was not started; it takes the place of Done.
+// Requeue takes back a task that Next handed out and that is to be started again; it takes the place of Done.
 //
 // The task is the next of its flow, or is dropped when its job was removed in the meantime.
 func (q *Queue) Requeue(task Task) {
