Leave part of an unused quota to VMs without demand

Cause: the unused part of a quota went to the VMs by demand plus one, so a VM without demand beside one with 30 tasks got 1 or 2 of 20 slots; a burst of a team there would wait for the next allocation (50 ms).

Weighed: giving the whole rest to every VM lets two bursts exceed the quota.

Change: one half of the rest goes by demand, one half evenly.

--- a/queue/allocate.go
+++ b/queue/allocate.go
@@ -220,15 +220,18 @@
 	return shares
 }
 
-// addRest adds the part of a quota that nobody needs to the parts of the VMs by their demand, plus one for VMs without.
+// addRest adds the part of a quota that nobody needs to the parts of the VMs, one half by demand and one half evenly, so
+// that a VM without demand can start some tasks before the next exchange of reports.
 func (u *limitUsage) addRest(cells []usageCell, quota float64) {
-	rest, weight := quota, float64(u.vms)
+	rest, sum := quota, 0.0
 	for _, c := range cells {
 		rest -= c.slots
-		weight += float64(c.tasks.total)
+		sum += float64(c.tasks.total)
 	}
+	even := sum/float64(u.vms) + 1
 	for vm := range cells {
-		cells[vm].slots += max(0, rest) * float64(cells[vm].tasks.total+1) / weight
+		weight := (float64(cells[vm].tasks.total) + even) / (sum + even*float64(u.vms))
+		cells[vm].slots += max(0, rest) * weight
 	}
 }
 
--- a/queue/allocate_test.go
+++ b/queue/allocate_test.go
@@ -32,6 +32,7 @@
 	{"teams share by weight", 100, "v1 urgent/c 500+0, v1 urgent/d 500+0"},
 	{"quota below one slot is one slot", 10, "v1 urgent/b 9+0, v1 urgent/d 20+0"},
 	{"quota of one slot that is in use leaves none to others", 10, "v1 urgent/b 9+1, v2 urgent/b 1+0"},
+	{"unused quota for VMs without demand", 100, "v1 urgent/a 0+30, v2 urgent/d 1+0, v3 urgent/d 1+0"},
 	{"quota that one VM uses beyond its part", 10, "v1 urgent/a 0+4, v2 urgent/a 9+0, v3 urgent/a 9+0"},
 	{"parent quota is shared", 100, "v1 urgent/a 500+0, v1 urgent/c 500+0, v1 batch/d 500+0"},
 	{"parent quota across priorities", 100, "v1 urgent/a 500+0, v1 batch/c 500+0"},
