Use the entitlement of the queue at admission

Cause: dispatch computed the slots that a flow may count on a second time and with less knowledge than the queue.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -96,7 +96,7 @@
 		RunTime:  runTime,
 		Ahead:    c.queue.QueuedAhead(flow),
 		MeanTime: runTime,
-		Slots:    c.entitled(flow, m.Tasks),
+		Slots:    c.queue.Entitled(flow),
 		Idle:     c.idle(),
 	}
 	if mean, ok := c.meanTimes[flow.Priority]; ok {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -35,9 +35,6 @@
 	service contract.Service
 	kinds   map[string]contract.Kind
 	teams   map[string]contract.Team
-	limits  map[string]contract.Limit
-
-	priorityShares map[string]int // percent by name
 
 	queue     *queue.Queue
 	ledger    *slot.Ledger
@@ -137,14 +134,6 @@
 	for _, team := range set.Teams {
 		c.teams[team.Name] = team
 	}
-	c.limits = make(map[string]contract.Limit)
-	for _, limit := range set.Limits {
-		c.limits[limit.Name] = limit
-	}
-	c.priorityShares = make(map[string]int)
-	for _, priority := range set.Priorities {
-		c.priorityShares[priority.Name] = priority.Share
-	}
 	c.queue.Configure(set)
 	c.estimates.Configure(slices.Collect(maps.Values(c.kinds)))
 }
