Measure the size of slot messages and of the ledger

Weighed: only computing the sizes from the fields. A test that runs the exchanges also catches a message that grows with the number of loans.

--- a/slot/load_test.go
+++ b/slot/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -196,3 +197,62 @@
 		is.True(results[Loans].refused < results[TwoChoices].refused)
 	}
 }
+
+// largest returns the size of the largest message of each kind that a step of the zone sends.
+func (z *testZone) largest(step func()) map[string]int {
+	z.kinds = map[string]traffic{}
+	step()
+	sizes := map[string]int{}
+	for kind, t := range z.kinds {
+		sizes[kind] = t.largest
+	}
+	return sizes
+}
+
+// A renewal must not grow with the loans, and a job of 150 tasks must get its loans in one small message per peer.
+func TestMessageSizes(t *testing.T) {
+	for _, vms := range []int{3, 5} {
+		for _, endpoints := range []int{16, 48, 220} {
+			is := is.New(t)
+			z := newTestZone(Config{}, vms, endpoints, 8, 1)
+			z.run(1100*time.Millisecond, nil)
+			v := z.vms[0]
+			job := z.largest(func() { z.demand(v, endpoints*8/vms+150, 300*time.Millisecond) })
+			all := z.largest(func() { z.demand(v, endpoints*8, 300*time.Millisecond) })
+			is.True(all["Renew"] <= job["Renew"]+3)
+			loans := v.ledger.Counts().Borrowed
+			given := z.largest(func() {
+				z.owners = z.owners[1:]
+				for _, other := range z.vms {
+					z.inform(other)
+				}
+				z.run(300*time.Millisecond, nil)
+			})
+			t.Logf("%d VMs, %d endpoints: want %d, lend %d, renew %d, renewed %d, handover %d; all slots: lend %d, renew %d with %d loans",
+				vms, endpoints, job["Want"], job["Lend"], job["Renew"], job["Renewed"], given["Handover"], all["Lend"], all["Renew"], loans)
+		}
+	}
+}
+
+// The state of a ledger that holds all slots of a zone must stay far below the budget of 256 MB.
+func TestStateSize(t *testing.T) {
+	for _, endpoints := range []int{16, 48, 220} {
+		heap := func() uint64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before := heap()
+		z := newTestZone(Config{}, 5, endpoints, 8, 1)
+		z.run(1100*time.Millisecond, nil)
+		z.demand(z.vms[0], endpoints*8, 300*time.Millisecond)
+		state := (heap() - before) / 5
+		t.Logf("%d endpoints: %d KB per VM while one VM holds all %d slots", endpoints, state/1024, len(z.vms[0].held))
+		if state > 1<<20 {
+			t.Errorf("the state of a VM has %d bytes", state)
+		}
+		runtime.KeepAlive(z)
+	}
+}
--- a/slot/zone_test.go
+++ b/slot/zone_test.go
@@ -48,7 +48,7 @@
 }
 
 // traffic counts messages and their bytes.
-type traffic struct{ messages, bytes int }
+type traffic struct{ messages, bytes, largest int }
 
 const linkDelay = 200 * time.Microsecond
 
@@ -86,7 +86,8 @@
 func (z *testZone) send(from *vm, out []Outgoing) {
 	for _, o := range out {
 		kind := fmt.Sprintf("%T", o.Message)[len("slot."):]
-		z.kinds[kind] = traffic{z.kinds[kind].messages + 1, z.kinds[kind].bytes + size(o.Message)}
+		bytes, t := size(o.Message), z.kinds[kind]
+		z.kinds[kind] = traffic{t.messages + 1, t.bytes + bytes, max(t.largest, bytes)}
 		if z.random.Float64() < z.faults.lose {
 			continue
 		}
