Tell each peer each change of membership once

Cause: entry VMs build a report for each peer on its own, so a count of the reports of a change was used up by whichever peers came first, and some peers were never told.

Weighed: reporting a change for a span of time. With more changes than fit into a report the reports need a rotation, and one that follows the time skips the same changes again and again when reports come every 250 ms. A number per change and the last one told per peer need no rotation.

Change: Recent takes the peer, returns its next four changes and leaves out endpoints for peers of other zones. A lost report shows in the hash, which leads to an exchange of the table after 2 s.

Conclusion: TestReports covers a rack of 8 endpoints, a lost report and the end of the sender itself.

--- a/entry/membership.go
+++ b/entry/membership.go
@@ -88,7 +88,7 @@
 func (e *Entry) exchangeSummary(peer platform.VM) {
 	ctx, cancel := context.WithTimeout(e.ctx, summaryPeriod/2)
 	defer cancel()
-	reply, err := e.links.Exchange(ctx, peer.LinkAddress, e.newBatch(e.summaryBatches(), true, true))
+	reply, err := e.links.Exchange(ctx, peer.LinkAddress, e.newBatch(peer.ID, e.summaryBatches(), true, true))
 	if err != nil {
 		e.table.Unreachable(time.Now(), peer.ID)
 		return
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -135,7 +135,7 @@
 // exchange sends one batch and handles the reply.
 func (e *Entry) exchange(ctx context.Context, box *outbox) {
 	services := box.take(time.Now())
-	batch := e.newBatch(services, carriesReport(services), box.sent <= introductions)
+	batch := e.newBatch(box.peer.ID, services, carriesReport(services), box.sent <= introductions)
 	reply, err := e.links.Exchange(ctx, box.peer.LinkAddress, batch)
 	if err != nil {
 		e.metrics.exchangesFailed.Inc()
@@ -157,8 +157,8 @@
 	return len(services) == 0
 }
 
-// newBatch builds a batch of this VM.
-func (e *Entry) newBatch(services []*linkpb.ServiceBatch, report, introduce bool) *linkpb.Batch {
+// newBatch builds a batch of this VM for a peer.
+func (e *Entry) newBatch(peer string, services []*linkpb.ServiceBatch, report, introduce bool) *linkpb.Batch {
 	batch := &linkpb.Batch{From: e.config.VM, Incarnation: e.incarnation, Services: services}
 	if !report && !introduce {
 		return batch
@@ -166,7 +166,7 @@
 	now := time.Now()
 	r := &linkpb.Report{
 		TableHash: e.table.Hash(),
-		Changes:   vmMessages(e.table.Recent(now)),
+		Changes:   vmMessages(e.table.Recent(now, peer)),
 		Silent:    e.table.Silent(now),
 		Leaving:   e.stopping.Load(),
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -18,7 +18,7 @@
 func (e *Entry) Exchange(_ context.Context, batch *linkpb.Batch) (*linkpb.Batch, error) {
 	sender, known := e.table.Get(batch.From)
 	otherZone := known && sender.Zone != e.config.Zone
-	reply := e.newBatch(nil, batch.Report != nil && otherZone, !known)
+	reply := e.newBatch(batch.From, nil, batch.Report != nil && otherZone, !known)
 	e.receiveBatch(batch, batch.From, reply)
 	if otherZone {
 		reply.Services = e.summaryBatches()
--- a/zone/table.go
+++ b/zone/table.go
@@ -23,8 +23,7 @@
 
 // The limits of reports and of forgetting.
 const (
-	recentLimit  = 4                // changes in one report, those first that were reported least
-	recentRepeat = 3                // reports that carry a change; a peer that misses all of them sees another hash
+	recentLimit  = 4                // changes in one report; more follow in the next ones
 	absentFor    = 10 * time.Second // a VM that newer lists lack for this long is gone
 	goneFor      = 24 * time.Hour   // a gone VM is remembered so that a stale list doesn't bring it back
 	divergeAfter = 2 * time.Second  // the hash of a peer may differ for this long
@@ -42,7 +41,8 @@
 type record struct {
 	vm      platform.VM
 	changed time.Time
-	reports int // number of reports that carried the change
+	number  uint64 // of the change; 0 if peers needn't be told
+	told    uint64 // number of the last change that this peer was told
 	heard   time.Time
 	lost    bool
 
@@ -63,6 +63,7 @@
 	records []*record // sorted by id
 	byID    map[string]*record
 	hash    uint64
+	changes uint64        // number of the last change
 	entries []platform.VM // live entry VMs of the own zone, sorted by id
 	version uint64        // highest version of the platform's list
 
@@ -81,6 +82,7 @@
 		LinkAddress: config.LinkAddress, Incarnation: config.Incarnation, State: platform.StateLive,
 	}
 	t.add(&record{vm: self})
+	t.number(t.byID[self.ID])
 	t.refresh()
 	return t
 }
@@ -91,22 +93,24 @@
 	t.byID[r.vm.ID] = r
 }
 
+// number marks a change for the reports to all peers.
+func (t *Table) number(r *record) {
+	t.changes++
+	r.number = t.changes
+}
+
 // Merge takes over entries from peers; an entry is used if its incarnation is higher or its state is further on.
 func (t *Table) Merge(now time.Time, vms []platform.VM) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.merge(now, vms, recentRepeat-1) // the sender tells all peers itself, so once more is enough
+	return t.merge(now, vms, true)
 }
 
 // MergeList takes over the platform's list; a VM that newer lists lack for 10 s is gone.
 func (t *Table) MergeList(now time.Time, list platform.List) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reports := 0
-	if t.version == 0 {
-		reports = recentRepeat // peers have the first list as well
-	}
-	changes := t.merge(now, list.VMs, reports)
+	changes := t.merge(now, list.VMs, t.version > 0) // peers have the first list as well
 	if list.Version <= t.version || len(list.VMs) == 0 {
 		return changes
 	}
@@ -114,13 +118,16 @@
 	return append(changes, t.absences(now, list.VMs)...)
 }
 
-// merge takes over entries whose changes count as having been reported so many times.
-func (t *Table) merge(now time.Time, vms []platform.VM, reports int) []Change {
+// merge takes over entries; report says whether peers may not know the changes.
+func (t *Table) merge(now time.Time, vms []platform.VM, report bool) []Change {
 	var changes []Change
 	for _, vm := range vms {
 		if t.relevant(vm) && t.accept(now, vm) {
-			t.byID[vm.ID].reports = reports
-			changes = append(changes, Change{VM: t.byID[vm.ID].vm})
+			r := t.byID[vm.ID]
+			if report || vm.ID == t.config.VM {
+				t.number(r)
+			}
+			changes = append(changes, Change{VM: r.vm})
 		}
 	}
 	if len(changes) > 0 {
@@ -196,7 +203,8 @@
 		}
 		if r.vm.State != platform.StateGone {
 			r.vm.State = platform.StateGone
-			r.changed, r.reports = now, 0
+			r.changed = now
+			t.number(r)
 			changes = append(changes, Change{VM: r.vm})
 		}
 	}
@@ -219,6 +227,7 @@
 		restarted := r.vm
 		restarted.Incarnation, restarted.State = incarnation, platform.StateLive
 		t.accept(now, restarted)
+		t.number(r)
 		t.refresh()
 		return []Change{{VM: restarted}}
 	}
--- a/zone/table_test.go
+++ b/zone/table_test.go
@@ -145,9 +145,10 @@
 func TestReports(t *testing.T) {
 	is := is.New(t)
 	a, b := newTestTable(0), newTestTable(1)
+	b.Merge(start, []platform.VM{entry("a", 0, 1, live)})
 	exchange := func(now time.Time) {
-		b.Merge(now, a.Recent(now))
-		a.Merge(now, b.Recent(now))
+		a.Merge(now, b.Recent(now, "a-entry-0"))
+		b.Merge(now, a.Recent(now, "a-entry-1"))
 	}
 	exchange(start)
 	is.Equal(a.Hash(), b.Hash())
@@ -169,16 +170,13 @@
 		vms[i].State = leaving
 	}
 	a.MergeList(at(5*time.Second), platform.List{Version: 2, VMs: vms})
+	is.Equal(len(a.Recent(at(5*time.Second), "a-entry-1")), recentLimit) // a lost report
 	exchange(at(5 * time.Second))
-	exchange(at(5 * time.Second))
-	is.Equal(len(b.Endpoints("sort")), 32) // after two reports
-	reported := 0
-	for range 20 {
-		n := len(a.Recent(at(6 * time.Second)))
-		is.True(n <= recentLimit)
-		reported += n
-	}
-	is.Equal(reported, 8*(recentRepeat-1)+1) // and the entry of the peer, once
+	is.Equal(len(b.Endpoints("sort")), 36)
+	is.True(a.Hash() != b.Hash())
+	is.Equal(len(a.Recent(at(6*time.Second), "a-entry-1")), 0) // everything was told once
+	a.Merge(at(7*time.Second), []platform.VM{entry("a", 0, 1, leaving)})
+	is.Equal(a.Recent(at(7*time.Second), "a-entry-1"), []platform.VM{entry("a", 0, 1, leaving)}) // its own end
 }
 
 // A change of one VM must move only the endpoints of that VM.
--- a/zone/view.go
+++ b/zone/view.go
@@ -68,23 +68,27 @@
 	return owner
 }
 
-// Recent returns changes of the last 10 s for the next report to all peers; it is due once per round of reports.
-func (t *Table) Recent(now time.Time) []platform.VM {
+// Recent returns the changes of the last 10 s for a report to a peer, at most four and each once; a peer that misses one
+// finds another hash.
+func (t *Table) Recent(now time.Time, peer string) []platform.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	to := t.byID[peer]
+	if to == nil {
+		return nil
+	}
 	var due []*record
 	for _, r := range t.records {
-		if r.changed.IsZero() {
-			r.changed = now // this VM itself, in its first report
-		}
-		if r.reports < recentRepeat && now.Sub(r.changed) < t.config.RecentFor {
+		old := !r.changed.IsZero() && now.Sub(r.changed) >= t.config.RecentFor
+		useful := r.vm.Role == platform.RoleEntry || to.vm.Zone == t.config.Zone
+		if r.number > to.told && r != to && !old && useful {
 			due = append(due, r)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *record) int { return cmp.Compare(a.reports, b.reports) })
+	slices.SortFunc(due, func(a, b *record) int { return cmp.Compare(a.number, b.number) })
 	var vms []platform.VM
 	for _, r := range due[:min(len(due), recentLimit)] {
-		r.reports++
+		to.told = r.number
 		vms = append(vms, r.vm)
 	}
 	return vms
