Ask peers only when no slot can be taken

Cause: tasks that a quota holds back count as queued, so a VM with idle slots went on asking for more.

Weighed: subtracting the idle slots from the wanted ones, as before: with an endpoint on trial they include slots that Take does not give, and a VM could starve beside them. The ledger now asks whether Take would give one.

Change: request withdraws its want while a slot can be taken; remembered wants are served from all spare slots.

--- a/slot/borrow.go
+++ b/slot/borrow.go
@@ -18,8 +18,7 @@
 
 // request asks peers for up to twice the missing slots, so that an occupied peer rarely costs a second exchange.
 func (l *Ledger) request(t int64, wanted int, out []Outgoing) []Outgoing {
-	wanted -= l.available()
-	if wanted <= 0 {
+	if wanted <= 0 || l.takeable() {
 		return l.withdraw(t, out)
 	}
 	missing, total := 2*wanted, 0
@@ -47,8 +46,15 @@
 	return out
 }
 
-// available is the number of slots that Take may give at once.
-func (l *Ledger) available() int { return max(0, l.lendable-l.yield) + l.idleLoans }
+// takeable reports whether Take would give a slot; queued tasks that leave it idle are held back by something else.
+func (l *Ledger) takeable() bool {
+	return l.rings[borrowed].head != nil || l.ownTakeable()
+}
+
+// ownTakeable reports whether an owned slot is idle that isn't left to a peer below its target.
+func (l *Ledger) ownTakeable() bool {
+	return l.rings[owned].head != nil && (l.yield == 0 || l.lendable > l.yield)
+}
 
 // pending is the number of slots that a peer may still lend in answer to a recent want.
 func (p *peer) pending(t int64) int {
--- a/slot/ledger.go
+++ b/slot/ledger.go
@@ -106,7 +106,6 @@
 	withheld   int
 	yield      int // idle owned slots that Take leaves to peers below their target
 	claim      int // slots that this VM lacks of its target
-	idleLoans  int // idle loans of usable endpoints
 	askFrom    int // peer that is asked first
 	serveFrom  int // peer that is served first
 	draining   bool
@@ -275,7 +274,8 @@
 	return out
 }
 
-// Tick expires, renews, returns and recalls loans and asks for slots for wanted queued tasks; it is due every 10 ms.
+// Tick expires, renews, returns and recalls loans and asks for slots for wanted queued tasks that could start; it is due
+// every 10 ms.
 func (l *Ledger) Tick(now time.Time, wanted int, targets []Target, out []Outgoing) []Outgoing {
 	t := l.observe(now)
 	if l.config.Policy != Loans {
@@ -290,7 +290,7 @@
 	return l.renew(t, out)
 }
 
-// Request asks peers for slots as soon as tasks are queued and no slot is idle; Tick does the same.
+// Request asks peers for slots for wanted queued tasks if Take gives none; Tick does the same.
 func (l *Ledger) Request(now time.Time, wanted int, out []Outgoing) []Outgoing {
 	t := l.observe(now)
 	if l.config.Policy != Loans {
--- a/slot/node.go
+++ b/slot/node.go
@@ -34,7 +34,6 @@
 	loans []*loan // idle loans; the last one was used last
 
 	counted int // share of this endpoint in Ledger.lendable
-	unused  int // share of this endpoint in Ledger.idleLoans
 	busy    int // share of this endpoint in Ledger.ownUse
 	links   [2]link
 }
@@ -79,14 +78,9 @@
 	if n.mine {
 		busy = n.own
 	}
-	unused := 0
-	if n.using < n.bound {
-		unused = len(n.loans)
-	}
 	l.lendable += lendable - n.counted
 	l.ownUse += busy - n.busy
-	l.idleLoans += unused - n.unused
-	n.counted, n.busy, n.unused = lendable, busy, unused
+	n.counted, n.busy = lendable, busy
 	if n.announced > 0 && !n.mine {
 		l.changed = true
 	}
--- a/slot/recall.go
+++ b/slot/recall.go
@@ -10,7 +10,7 @@
 	l.setAllotments(targets)
 	l.setClaims(wanted, targets)
 	out = l.recall(t, out)
-	return l.serve(t, wanted, out)
+	return l.serve(t, out)
 }
 
 // setAllotments derives from the targets how many slots this VM should lend to each peer: what it owns beyond its own
@@ -92,7 +92,7 @@
 func (p *peer) excess() int { return len(p.given) - p.allotment - p.slack() }
 
 // serve lends idle slots to remembered wants: first to peers below their allotment, then to the others.
-func (l *Ledger) serve(t int64, wanted int, out []Outgoing) []Outgoing {
+func (l *Ledger) serve(t int64, out []Outgoing) []Outgoing {
 	for _, p := range l.peers {
 		if count := min(p.claim, l.lendable); count > 0 && !l.draining {
 			out = l.lend(t, p, count, out)
@@ -100,7 +100,7 @@
 	}
 	for i := range l.peers {
 		p := l.peers[(l.serveFrom+i)%len(l.peers)]
-		if count := min(p.want, l.spare(p)-wanted); count > 0 {
+		if count := min(p.want, l.spare(p)); count > 0 {
 			out = l.lend(t, p, count, out)
 		}
 	}
--- a/slot/take.go
+++ b/slot/take.go
@@ -10,7 +10,8 @@
 		return l.takeTwoChoices()
 	case Loans, FixedShare:
 	}
-	if n := l.rings[owned].head; n != nil && (l.yield == 0 || l.lendable > l.yield) {
+	if l.ownTakeable() {
+		n := l.rings[owned].head
 		n.own++
 		held := l.use(n, nil)
 		l.rings[owned].toBack(n)
