End trials without tasks, and ignore freezes without loans

Cause: the trial of an endpoint whose owner has no tasks never ended, and an owner lends only as many slots as its own trial allows, so a busy peer got one slot of eight for good. With fixed shares a frozen clock held back all slots for good, because only the policy with loans ends that wait.

Weighed: lending all slots while on trial. A VM that does not follow the trial would then get them all at the first probe.

Change: after 5 s a trial also counts answered probes; a freeze has no effect on the baselines.

Conclusion: TestReadmission and TestFixedShare fail without the changes.

--- a/endpoint/health.go
+++ b/endpoint/health.go
@@ -41,7 +41,7 @@
 	ejectedShare   = 3                      // at most one in three endpoints is ejected
 	judgeEvery     = 100 * time.Millisecond // shortest time between two judgements of one endpoint
 	window         = 5 * time.Second        // failures are counted over the present and the last window
-	orphanTrial    = 5 * time.Second        // a trial starts without a probe if the owner reports none for this long
+	orphanTrial    = 5 * time.Second        // a trial starts without a probe, or goes on with probes only, after this time
 	forgiveAfter   = time.Minute            // after this time without ejection the next one is short again
 	shareFor       = 2 * time.Second        // a trial or an answered probe is reported for this long
 	probesToEject  = 3                      // consecutive failed probes
@@ -253,9 +253,13 @@
 func (s *state) succeed(now time.Time) {
 	s.clearRuns()
 	s.goodAt = now
-	if s.phase != trial {
-		return
+	if s.phase == trial {
+		s.pass(now)
 	}
+}
+
+// pass counts a success of a trial.
+func (s *state) pass(now time.Time) {
 	s.passed++
 	// One task passes the first step of the trial and two the second one.
 	if s.passed > 2 {
--- a/endpoint/health_judge.go
+++ b/endpoint/health_judge.go
@@ -132,11 +132,20 @@
 func (s *state) answer(now time.Time) {
 	s.answeredAt, s.probeFails = now, 0
 	s.owes, s.restore = false, s.restore || s.owes
-	if s.phase == ejected && !now.Before(s.until) {
+	switch {
+	case s.phase == ejected && !now.Before(s.until):
 		s.enter(now, trial)
+	case s.idleTrial(now):
+		s.pass(now)
 	}
 }
 
+// idleTrial reports whether a trial has lasted so long that this VM seems to have no tasks for it. Probes then take their
+// place, since the trial of an idle owner would hold back the loans of all others.
+func (s *state) idleTrial(now time.Time) bool {
+	return s.phase == trial && now.Sub(s.changed) >= orphanTrial
+}
+
 // Tick returns the actions that are due; it runs every 10 ms.
 func (h *Health) Tick(now time.Time, out []Action) []Action {
 	for _, s := range h.states {
@@ -173,7 +182,7 @@
 }
 
 // probeDue reports whether an endpoint needs a probe: at the end of an ejection, while it owes an answer here or to a
-// peer, and after some time without success.
+// peer, in a trial without tasks, and after some time without success.
 func (h *Health) probeDue(now time.Time, s *state) bool {
 	if now.Before(s.nextProbe) {
 		return false
@@ -181,7 +190,7 @@
 	if s.phase == ejected {
 		return !now.Before(s.until)
 	}
-	if s.owes || s.probeFails > 0 || s.peerSilentAt.After(s.answeredAt) {
+	if s.owes || s.probeFails > 0 || s.idleTrial(now) || s.peerSilentAt.After(s.answeredAt) {
 		return true
 	}
 	since := s.answeredAt
--- a/endpoint/health_test.go
+++ b/endpoint/health_test.go
@@ -181,6 +181,13 @@
 		c.record(0, Good)
 		is.Equal(c.h.Usable(name(0)), want)
 	}
+	c.repeat(3, 0, Bad)
+	c.tick(30 * time.Second)
+	for _, want := range []int{1, 2, 2, Unlimited} { // a trial without tasks ends with probes
+		c.h.Probed(c.now, name(0), true)
+		is.Equal(c.h.Usable(name(0)), want)
+		is.True(slices.Contains(c.tick(5*time.Second), Action(Probe{name(0)})))
+	}
 }
 
 // An ejection must reach peers, must not be prolonged by its echo, and must end with the owner's probe.
--- a/slot/fault_test.go
+++ b/slot/fault_test.go
@@ -216,6 +216,7 @@
 				z.finish(v, 0)
 			}
 		}
+		z.now = z.now.Add(time.Second) // a frozen clock doesn't matter without loans
 		last := len(z.vms) - 1
 		z.remove(z.vms[last])
 		z.vms = z.vms[:last]
--- a/slot/handover.go
+++ b/slot/handover.go
@@ -159,7 +159,7 @@
 		p.want, p.asked, p.open, p.surrender = 0, 0, 0, 0
 		p.clear = false
 	}
-	if l.livePeers() == 0 {
+	if l.livePeers() == 0 || l.config.Policy != Loans {
 		return
 	}
 	l.resumed, l.nextResume = t, t
