Keep the load report when the counts of the stand-ins are missing

Cause: after a run of a minute one failed request to a stand-in lost all that the callers had seen.

Weighed: repeating the request, or a report that says what is missing; the latter, with exit code 1, so that a run whose guarantees were not checked never passes.

--- a/cmd/samphireplank-standin/endpoint.go
+++ b/cmd/samphireplank-standin/endpoint.go
@@ -56,7 +56,7 @@
 	for _, text := range c.Faults {
 		id, fault, err := standin.ParseFault(text)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", errSettings, err)
 		}
 		faults[id] = append(faults[id], fault)
 	}
@@ -75,7 +75,7 @@
 		delete(faults, id)
 	}
 	for id := range faults {
-		return nil, fmt.Errorf("a fault names endpoint %q, which is not among the %d endpoints %s1…", id, c.Count, c.Prefix)
+		return nil, fmt.Errorf("%w: a fault names endpoint %q, which is not among the %d endpoints %s1…", errSettings, id, c.Count, c.Prefix)
 	}
 	return endpoints, nil
 }
--- a/cmd/samphireplank-standin/main.go
+++ b/cmd/samphireplank-standin/main.go
@@ -18,6 +18,9 @@
 	exitUsage  = 2
 )
 
+// errSettings marks flags that can't be used together or have a wrong value.
+var errSettings = errors.New("settings are wrong")
+
 func main() {
 	parser := flags.NewNamedParser("samphireplank-standin", flags.Default)
 	if err := addCommands(parser); err != nil {
@@ -27,7 +30,7 @@
 	var problem *flags.Error
 	switch {
 	case err == nil || flags.WroteHelp(err):
-	case errors.As(err, &problem):
+	case errors.As(err, &problem) || errors.Is(err, errSettings):
 		os.Exit(exitUsage)
 	default:
 		os.Exit(exitFailed)
--- a/load/report.go
+++ b/load/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sort"
@@ -20,8 +21,9 @@
 	TaskRate  float64           `json:"task-rate"` // offered without floods, per second
 	Classes   []ClassReport     `json:"classes"`
 	Checks    Checks            `json:"checks"`
-	Work      *Work             `json:"work,omitempty"` // missing without stand-ins
-	ToolLagMS Quantiles         `json:"tool-lag-ms"`    // from the scheduled time to the begin of a submission
+	Work      *Work             `json:"work,omitempty"`       // missing without stand-ins
+	WorkError string            `json:"work-error,omitempty"` // why the counts of the stand-ins are missing
+	ToolLagMS Quantiles         `json:"tool-lag-ms"`          // from the scheduled time to the begin of a submission
 	Cancels   *Cancels          `json:"cancels,omitempty"`
 	Examples  map[string]string `json:"examples,omitempty"` // a reason for each outcome
 }
@@ -81,7 +83,8 @@
 	MostRunning     int       `json:"most-running"` // at one endpoint
 }
 
-func (r *runner) report(offered standInCounts, elapsed time.Duration) (*Report, error) {
+// report keeps what the callers saw when the counts of the stand-ins can't be had.
+func (r *runner) report(offered standInCounts, elapsed time.Duration, countErr error) *Report {
 	rec := r.recorder
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -97,15 +100,16 @@
 		report.Classes = append(report.Classes, rec.groups[key].report(key))
 	}
 	if len(r.judge.addresses) == 0 {
-		return report, nil
+		return report
 	}
 	tasks, err := r.judge.tasks()
-	if err != nil {
-		return nil, err
+	if err = errors.Join(countErr, err); err != nil {
+		report.WorkError = err.Error()
+		return report
 	}
 	report.addWork(tasks, rec.jobs, offered, elapsed)
 	report.Work.FloodBusy = rec.floods
-	return report, nil
+	return report
 }
 
 func (g *group) report(key groupKey) ClassReport {
@@ -224,6 +228,9 @@
 		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
 			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
 	}
+	if report.WorkError != "" {
+		fmt.Fprintf(b, "endpoints: %s\n", report.WorkError)
+	}
 	for i, share := range report.floods() {
 		fmt.Fprintf(b, "utilisation in flood %d: %.1f%% of slot time\n", i+1, share*100)
 	}
@@ -269,10 +276,13 @@
 	return names
 }
 
-// Violation returns an error that names the first violated guarantee, or nil.
+// Violation returns an error when a guarantee is violated or could not be checked.
 func (report *Report) Violation() error {
 	if c := report.Checks; c != (Checks{}) {
 		return fmt.Errorf("a guarantee is violated: %+v", c)
 	}
+	if report.WorkError != "" {
+		return fmt.Errorf("the guarantees are not checked: %s", report.WorkError)
+	}
 	return nil
 }
--- a/load/report_test.go
+++ b/load/report_test.go
@@ -51,7 +51,7 @@
 	job(0, 1, result{id: "j6", outcome: "complete", elapsed: time.Second, contradictory: true}, resubmitted)
 	rec.cancel(true)
 	r := &runner{profile: p, recorder: rec, judge: newJudge(nil)}
-	report, _ := r.report(standInCounts{}, 10*time.Second)
+	report := r.report(standInCounts{}, 10*time.Second, nil)
 	busy := 100 * time.Millisecond
 	report.addWork(map[string]taskLine{
 		"j1/0": {starts: 1, answers: 1, busy: busy}, "j1/1": {starts: 1, answers: 1, refusals: 1, busy: busy},
@@ -125,3 +125,12 @@
 		})
 	}
 }
+
+// Guards against a report that is lost, or passes as checked, when the stand-ins' counts can't be had.
+func TestReportWithoutCounts(t *testing.T) {
+	is := is.New(t)
+	p := testProfile()
+	r := &runner{profile: p, recorder: newRecorder(p), judge: newJudge([]string{"127.0.0.1:1"})}
+	report := r.report(standInCounts{}, time.Second, nil)
+	is.True(report.WorkError != "" && report.Violation() != nil)
+}
--- a/load/run.go
+++ b/load/run.go
@@ -39,13 +39,10 @@
 	if err := r.offer(ctx); err != nil {
 		return nil, err
 	}
-	busy, err := r.judge.counts()
-	if err != nil {
-		return nil, err
-	}
+	busy, countErr := r.judge.counts()
 	offered := time.Since(r.start)
 	_ = r.group.Wait()
-	return r.report(busy, offered)
+	return r.report(busy, offered, countErr), nil
 }
 
 // runner is a run in progress.
