--- a/load/judge.go
+++ b/load/judge.go
@@ -20,13 +20,27 @@
 
 // standInCounts are the totals that a stand-in reports.
 type standInCounts struct {
-	Slots       int     `json:"slots"`
-	Starts      uint64  `json:"starts"`
-	Refusals    uint64  `json:"refusals"`
-	Rejects     uint64  `json:"rejects"`
-	Probes      uint64  `json:"probes"`
-	MostRunning int     `json:"most-running"`
-	BusySeconds float64 `json:"busy-seconds"`
+	Slots       int              `json:"slots"`
+	Starts      uint64           `json:"starts"`
+	Refusals    uint64           `json:"refusals"`
+	Rejects     uint64           `json:"rejects"`
+	Probes      uint64           `json:"probes"`
+	MostRunning int              `json:"most-running"`
+	BusySeconds float64          `json:"busy-seconds"`
+	Endpoints   []EndpointStarts `json:"endpoints"`
+}
+
+// extremes returns the endpoints with the fewest and the most starts.
+func (c standInCounts) extremes() (least, most EndpointStarts) {
+	for i, e := range c.Endpoints {
+		if i == 0 || e.Starts < least.Starts {
+			least = e
+		}
+		if i == 0 || e.Starts > most.Starts {
+			most = e
+		}
+	}
+	return least, most
 }
 
 // taskLine is what the stand-ins counted for one Task-Id.
@@ -86,6 +100,7 @@
 		total.Probes += one.Probes
 		total.MostRunning = max(total.MostRunning, one.MostRunning)
 		total.BusySeconds += one.BusySeconds
+		total.Endpoints = append(total.Endpoints, one.Endpoints...)
 	}
 	return total, nil
 }
--- a/load/report.go
+++ b/load/report.go
@@ -68,19 +68,28 @@
 
 // Work is what the endpoint stand-ins counted.
 type Work struct {
-	Starts          int       `json:"starts"`
-	Retries         int       `json:"starts-over-one-of-idempotent-kinds"`
-	Refusals        int       `json:"refusals"`
-	Rejects         int       `json:"rejects"`
-	Useful          int       `json:"useful-starts"` // one for each task of a complete answer
-	WastedPer1000   float64   `json:"wasted-per-1000-tasks"`
-	WastedCancelled int       `json:"wasted-by-cancellation"` // part of the wasted starts
-	Unattributed    int       `json:"unattributed-starts"`    // of jobs whose id no caller got
-	Utilisation     float64   `json:"utilisation"`            // busy slot time over slot time while load was offered
-	UsefulBusy      float64   `json:"useful-busy-share"`      // of the busy slot time
-	FloodBusy       []float64 `json:"utilisation-in-floods"`  // of each flood of the profile
-	Probes          uint64    `json:"probes"`
-	MostRunning     int       `json:"most-running"` // at one endpoint
+	Starts          int            `json:"starts"`
+	Retries         int            `json:"starts-over-one-of-idempotent-kinds"`
+	Refusals        int            `json:"refusals"`
+	Rejects         int            `json:"rejects"`
+	Useful          int            `json:"useful-starts"` // one for each task of a complete answer
+	WastedPer1000   float64        `json:"wasted-per-1000-tasks"`
+	WastedCancelled int            `json:"wasted-by-cancellation"` // part of the wasted starts
+	Unattributed    int            `json:"unattributed-starts"`    // of jobs whose id no caller got
+	Utilisation     float64        `json:"utilisation"`            // busy slot time over slot time while load was offered
+	UsefulBusy      float64        `json:"useful-busy-share"`      // of the busy slot time
+	FloodBusy       []float64      `json:"utilisation-in-floods"`  // of each flood of the profile
+	Least           EndpointStarts `json:"fewest-starts"`          // while load was offered
+	Most            EndpointStarts `json:"most-starts"`
+	Probes          uint64         `json:"probes"`
+	MostRunning     int            `json:"most-running"` // at one endpoint
+}
+
+// EndpointStarts are the starts that one endpoint counted.
+type EndpointStarts struct {
+	ID       string `json:"id"`
+	Starts   uint64 `json:"starts"`
+	Failures uint64 `json:"failures"`
 }
 
 // report keeps what the callers saw when the counts of the stand-ins can't be had.
@@ -131,6 +140,7 @@
 // addWork compares what the stand-ins counted with what the callers were told.
 func (report *Report) addWork(tasks map[string]taskLine, jobs map[string]jobRecord, offered standInCounts, elapsed time.Duration) {
 	w := &Work{Probes: offered.Probes, MostRunning: offered.MostRunning}
+	w.Least, w.Most = offered.extremes()
 	var busy, usefulBusy time.Duration
 	startedTasks := map[string]int{}
 	for id, line := range tasks {
@@ -227,6 +237,8 @@
 			w.Starts, w.Retries, w.Refusals, w.Rejects, w.WastedPer1000, w.WastedCancelled, w.Unattributed)
 		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
 			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
+		fmt.Fprintf(b, "starts per endpoint: %d (%d failed) at %s to %d at %s\n",
+			w.Least.Starts, w.Least.Failures, w.Least.ID, w.Most.Starts, w.Most.ID)
 	}
 	if report.WorkError != "" {
 		fmt.Fprintf(b, "endpoints: %s\n", report.WorkError)
--- a/load/report_test.go
+++ b/load/report_test.go
@@ -57,7 +57,9 @@
 		"j1/0": {starts: 1, answers: 1, busy: busy}, "j1/1": {starts: 1, answers: 1, refusals: 1, busy: busy},
 		"j2/0": {starts: 2, answers: 1, busy: 2 * busy}, "j3/0": {starts: 1, busy: busy}, "j5/0": {starts: 1, busy: busy},
 		"j7/0": {starts: 1, answers: 1, busy: busy},
-	}, rec.jobs, standInCounts{Slots: 1, BusySeconds: 0.7, MostRunning: 1}, 10*time.Second)
+	}, rec.jobs, standInCounts{
+		Slots: 1, BusySeconds: 0.7, MostRunning: 1, Endpoints: []EndpointStarts{{ID: "e1", Starts: 4}, {ID: "e2", Starts: 2, Failures: 1}},
+	}, 10*time.Second)
 	return report
 }
 
