--- a/load/report.go
+++ b/load/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sort"
@@ -20,8 +21,9 @@
 	TaskRate  float64           `json:"task-rate"` // offered without floods, per second
 	Classes   []ClassReport     `json:"classes"`
 	Checks    Checks            `json:"checks"`
-	Work      *Work             `json:"work,omitempty"` // missing without stand-ins
-	ToolLagMS Quantiles         `json:"tool-lag-ms"`    // from the scheduled time to the begin of a submission
+	Work      *Work             `json:"work,omitempty"`       // missing without stand-ins
+	WorkError string            `json:"work-error,omitempty"` // why the counts of the stand-ins are missing
+	ToolLagMS Quantiles         `json:"tool-lag-ms"`          // from the scheduled time to the begin of a submission
 	Cancels   *Cancels          `json:"cancels,omitempty"`
 	Examples  map[string]string `json:"examples,omitempty"` // a reason for each outcome
 }
@@ -66,22 +68,32 @@
 
 // Work is what the endpoint stand-ins counted.
 type Work struct {
-	Starts          int       `json:"starts"`
-	Retries         int       `json:"starts-over-one-of-idempotent-kinds"`
-	Refusals        int       `json:"refusals"`
-	Rejects         int       `json:"rejects"`
-	Useful          int       `json:"useful-starts"` // one for each task of a complete answer
-	WastedPer1000   float64   `json:"wasted-per-1000-tasks"`
-	WastedCancelled int       `json:"wasted-by-cancellation"` // part of the wasted starts
-	Unattributed    int       `json:"unattributed-starts"`    // of jobs whose id no caller got
-	Utilisation     float64   `json:"utilisation"`            // busy slot time over slot time while load was offered
-	UsefulBusy      float64   `json:"useful-busy-share"`      // of the busy slot time
-	FloodBusy       []float64 `json:"utilisation-in-floods"`  // of each flood of the profile
-	Probes          uint64    `json:"probes"`
-	MostRunning     int       `json:"most-running"` // at one endpoint
+	Starts          int            `json:"starts"`
+	Retries         int            `json:"starts-over-one-of-idempotent-kinds"`
+	Refusals        int            `json:"refusals"`
+	Rejects         int            `json:"rejects"`
+	Useful          int            `json:"useful-starts"` // one for each task of a complete answer
+	WastedPer1000   float64        `json:"wasted-per-1000-tasks"`
+	WastedCancelled int            `json:"wasted-by-cancellation"` // part of the wasted starts
+	Unattributed    int            `json:"unattributed-starts"`    // of jobs whose id no caller got
+	Utilisation     float64        `json:"utilisation"`            // busy slot time over slot time while load was offered
+	UsefulBusy      float64        `json:"useful-busy-share"`      // of the busy slot time
+	FloodBusy       []float64      `json:"utilisation-in-floods"`  // of each flood of the profile
+	Least           EndpointStarts `json:"fewest-starts"`          // while load was offered
+	Most            EndpointStarts `json:"most-starts"`
+	Probes          uint64         `json:"probes"`
+	MostRunning     int            `json:"most-running"` // at one endpoint
 }
 
-func (r *runner) report(offered standInCounts, elapsed time.Duration) (*Report, error) {
+// EndpointStarts are the starts that one endpoint counted.
+type EndpointStarts struct {
+	ID       string `json:"id"`
+	Starts   uint64 `json:"starts"`
+	Failures uint64 `json:"failures"`
+}
+
+// report keeps what the callers saw when the counts of the stand-ins can't be had.
+func (r *runner) report(offered standInCounts, elapsed time.Duration, countErr error) *Report {
 	rec := r.recorder
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -97,15 +109,16 @@
 		report.Classes = append(report.Classes, rec.groups[key].report(key))
 	}
 	if len(r.judge.addresses) == 0 {
-		return report, nil
+		return report
 	}
 	tasks, err := r.judge.tasks()
-	if err != nil {
-		return nil, err
+	if err = errors.Join(countErr, err); err != nil {
+		report.WorkError = err.Error()
+		return report
 	}
 	report.addWork(tasks, rec.jobs, offered, elapsed)
 	report.Work.FloodBusy = rec.floods
-	return report, nil
+	return report
 }
 
 func (g *group) report(key groupKey) ClassReport {
@@ -127,6 +140,7 @@
 // addWork compares what the stand-ins counted with what the callers were told.
 func (report *Report) addWork(tasks map[string]taskLine, jobs map[string]jobRecord, offered standInCounts, elapsed time.Duration) {
 	w := &Work{Probes: offered.Probes, MostRunning: offered.MostRunning}
+	w.Least, w.Most = offered.extremes()
 	var busy, usefulBusy time.Duration
 	startedTasks := map[string]int{}
 	for id, line := range tasks {
@@ -223,6 +237,11 @@
 			w.Starts, w.Retries, w.Refusals, w.Rejects, w.WastedPer1000, w.WastedCancelled, w.Unattributed)
 		fmt.Fprintf(b, "utilisation: %.1f%% of slot time, %.1f%% of it useful, at most %d running at one endpoint, %d probes\n",
 			w.Utilisation*100, w.UsefulBusy*100, w.MostRunning, w.Probes)
+		fmt.Fprintf(b, "starts per endpoint: %d (%d failed) at %s to %d at %s\n",
+			w.Least.Starts, w.Least.Failures, w.Least.ID, w.Most.Starts, w.Most.ID)
+	}
+	if report.WorkError != "" {
+		fmt.Fprintf(b, "endpoints: %s\n", report.WorkError)
 	}
 	for i, share := range report.floods() {
 		fmt.Fprintf(b, "utilisation in flood %d: %.1f%% of slot time\n", i+1, share*100)
@@ -269,10 +288,13 @@
 	return names
 }
 
-// Violation returns an error that names the first violated guarantee, or nil.
+// Violation returns an error when a guarantee is violated or could not be checked.
 func (report *Report) Violation() error {
 	if c := report.Checks; c != (Checks{}) {
 		return fmt.Errorf("a guarantee is violated: %+v", c)
 	}
+	if report.WorkError != "" {
+		return fmt.Errorf("the guarantees are not checked: %s", report.WorkError)
+	}
 	return nil
 }
