Load: act as a balancer and list calls that got no answer

Cause: under killed and stopping entry VMs the tool kept sending to VMs that were not ready, counted calls that were never sent as lost, and could not say at which VM and time a connection broke. Weighed: repeating broken calls was ruled out, since a call of which bytes were sent may have started tasks. A job that got no answer is now known by its ticket. Without these flags the offered load and the checks are as before. Conclusion: go test -race ./load passes; the golden report is unchanged.

--- a/cmd/samphireplank/load.go
+++ b/cmd/samphireplank/load.go
@@ -20,6 +20,8 @@
 	Rate     float64       `long:"rate" description:"task starts per second, in place of the profile's"`
 	Duration time.Duration `long:"duration" description:"duration, in place of the profile's"`
 	Seed     uint64        `long:"seed" description:"seed, in place of the profile's"`
+	Balance  bool          `long:"balance" description:"act as a balancer: send to ready entry VMs only, and to another one what could not be sent"`
+	Settle   time.Duration `long:"settle" description:"time from the last answer to the final counts, in which late starts show"`
 }
 
 const loadHelp = "Sends the load of a profile to entry VMs, checks every answer and reports response times, wasted messages and " +
@@ -35,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	report, err := load.Run(ctx, load.Config{Profile: profile, Entries: entries, StandIns: c.StandIns})
+	report, err := load.Run(ctx, load.Config{Profile: profile, Entries: entries, StandIns: c.StandIns, Balance: c.Balance, Settle: c.Settle})
 	if err != nil {
 		return err
 	}
--- a/load/caller.go
+++ b/load/caller.go
@@ -25,8 +25,9 @@
 func (r *runner) submit(a arrival) {
 	due := r.start.Add(a.at)
 	r.recorder.late(a, time.Since(due))
+	a.target, a.second = r.balance.route(a.target), r.balance.route(a.second)
 	id := ""
-	if a.cancel || a.resubmit || r.profile.waved(a.mix.Class) {
+	if a.cancel || a.resubmit || r.profile.waved(a.mix.Class) || r.balance.needsTicket(a) {
 		id = r.ticket(a.target)
 	}
 	var got result
@@ -40,6 +41,10 @@
 		got = r.exchange(a.target, a, "", until(a, due))
 	}
 	got.elapsed = time.Since(due)
+	if got.id == "" {
+		// A job without an answer is known by its ticket, so that its starts are judged by its kind.
+		got.id = id
+	}
 	r.recorder.add(a, got, kind)
 }
 
--- a/load/record.go
+++ b/load/record.go
@@ -32,6 +32,9 @@
 	cancelErrors  int
 	sinceCancel   *hdrhistogram.Histogram // from a cancellation to the answer of its job
 	examples      map[string]string       // a reason for each outcome but complete
+	breaks        []Break
+	breakCount    int
+	failovers     int
 }
 
 // groupKey names the jobs that are measured together.
@@ -108,6 +111,26 @@
 	}
 }
 
+// maxBreaks bounds the broken calls that a report lists.
+const maxBreaks = 10_000
+
+// broken records a call that was sent and got no answer.
+func (r *recorder) broken(b Break) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breakCount++
+	if len(r.breaks) < maxBreaks {
+		r.breaks = append(r.breaks, b)
+	}
+}
+
+// failover records a call that could not be sent and goes to another entry VM.
+func (r *recorder) failover() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failovers++
+}
+
 func (r *recorder) add(a arrival, got result, kind special) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/load/report.go
+++ b/load/report.go
@@ -23,7 +23,19 @@
 	Work      *Work             `json:"work,omitempty"` // missing without stand-ins
 	ToolLagMS Quantiles         `json:"tool-lag-ms"`    // from the scheduled time to the begin of a submission
 	Cancels   *Cancels          `json:"cancels,omitempty"`
-	Examples  map[string]string `json:"examples,omitempty"` // a reason for each outcome
+	Examples  map[string]string `json:"examples,omitempty"`     // a reason for each outcome
+	Breaks    []Break           `json:"breaks,omitempty"`       // the first 10,000 calls that were sent and not answered
+	Broken    int               `json:"broken-calls,omitempty"` // all of them
+	Failovers int               `json:"failovers,omitempty"`    // calls that could not be sent and went to another entry VM
+}
+
+// Break is a call to an entry VM that was sent and got no answer; what became of its job is unknown to the caller.
+type Break struct {
+	Entry   string    `json:"entry"` // host:port
+	Sent    time.Time `json:"sent"`
+	At      time.Time `json:"at"`
+	Reason  string    `json:"reason"`
+	Timeout bool      `json:"timeout"` // no answer came by the deadline and the caller's grace time
 }
 
 // ClassReport is the part of a Report about one class in one phase.
@@ -89,6 +101,7 @@
 		Profile: r.profile.Name, Seed: r.profile.Seed, Seconds: elapsed.Seconds(), Slots: r.profile.Slots,
 		TaskRate: r.profile.taskRate(), ToolLagMS: quantiles(rec.lateness, 1000), Examples: rec.examples,
 		Checks: Checks{Partial: rec.partial, Crossed: rec.crossed, Contradictory: rec.contradictory},
+		Breaks: rec.breaks, Broken: rec.breakCount, Failovers: rec.failovers,
 	}
 	if rec.cancels > 0 {
 		report.Cancels = &Cancels{Sent: rec.cancels, Errors: rec.cancelErrors, AnswerMS: quantiles(rec.sinceCancel, 1000)}
@@ -231,6 +244,9 @@
 		fmt.Fprintf(b, "cancellations: %d sent, %d without success, answered after ms: p50 %.1f, p99 %.1f\n",
 			x.Sent, x.Errors, x.AnswerMS.P50, x.AnswerMS.P99)
 	}
+	if report.Broken+report.Failovers > 0 {
+		fmt.Fprintf(b, "calls: %d sent and not answered, %d not sent and moved to another entry VM\n", report.Broken, report.Failovers)
+	}
 	l := report.ToolLagMS
 	fmt.Fprintf(b, "tool lag ms: p50 %.3f, p99 %.3f, max %.3f\n", l.P50, l.P99, l.Max)
 	for _, outcome := range sortedNames(report.Examples) {
--- a/load/run.go
+++ b/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -18,8 +19,10 @@
 // Config configures a Run.
 type Config struct {
 	Profile  *Profile
-	Entries  []string // host:port of the entry VMs, in the order of the profile's weights
-	StandIns []string // host:port of the admin servers of the endpoint stand-ins; none for a report without counts
+	Entries  []string      // host:port of the entry VMs, in the order of the profile's weights
+	StandIns []string      // host:port of the admin servers of the endpoint stand-ins; none for a report without counts
+	Balance  bool          // send to ready entry VMs only, and to another one what could not be sent
+	Settle   time.Duration // from the last answer to the final counts, in which late starts show
 }
 
 // Run carries out a profile and returns its report.
@@ -36,6 +39,7 @@
 	if err := r.prepare(); err != nil {
 		return nil, err
 	}
+	defer r.balance.start(ctx)()
 	if err := r.offer(ctx); err != nil {
 		return nil, err
 	}
@@ -45,6 +49,9 @@
 	}
 	offered := time.Since(r.start)
 	_ = r.group.Wait()
+	if err := sleepUntil(ctx, time.Now().Add(cfg.Settle)); err != nil {
+		return nil, err
+	}
 	return r.report(busy, offered)
 }
 
@@ -55,6 +62,7 @@
 	clients  []*fasthttp.HostClient
 	tickets  []*tickets // of each entry VM
 	waves    *waves
+	balance  *balance
 	recorder *recorder
 	judge    *judge
 	start    time.Time
@@ -76,6 +84,7 @@
 		r.clients = append(r.clients, client)
 		r.tickets = append(r.tickets, &tickets{client: client})
 	}
+	r.balance = newBalance(cfg.Balance, r.clients, r.tickets)
 	return r, nil
 }
 
@@ -157,7 +166,21 @@
 	return ctx.Err()
 }
 
+// exchange submits a job; with a balancer, a job of which no byte was sent goes to the next entry VM.
 func (r *runner) exchange(target int, a arrival, id string, until time.Time) result {
+	got := r.exchangeOnce(target, a, id, until)
+	for range len(r.clients) - 1 {
+		if !r.balance.enabled || got.outcome != outcomeUnreachable || time.Now().After(until) {
+			break
+		}
+		r.recorder.failover()
+		target = r.balance.route((target + 1) % len(r.clients))
+		got = r.exchangeOnce(target, a, id, until)
+	}
+	return got
+}
+
+func (r *runner) exchangeOnce(target int, a arrival, id string, until time.Time) result {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -166,8 +189,14 @@
 	request.SetRequestURI("http://" + client.Addr + "/v1/jobs")
 	request.Header.SetContentType("application/json")
 	request.SetBodyRaw(appendBody(nil, a, r.profile.Seed, id))
+	sent := time.Now()
 	if err := client.DoDeadline(request, response, until); err != nil {
-		return failure(err)
+		got := failure(err)
+		abandoned := errors.Is(err, fasthttp.ErrTimeout) && until.Before(r.start.Add(a.at+a.mix.Deadline+answerGrace))
+		if got.outcome == outcomeBroken && !abandoned {
+			r.recorder.broken(Break{Entry: client.Addr, Sent: sent, At: time.Now(), Reason: err.Error(), Timeout: errors.Is(err, fasthttp.ErrTimeout)})
+		}
+		return got
 	}
 	return check(response.StatusCode(), response.Body(), a, r.profile.Seed, id)
 }
--- a/load/ticket.go
+++ b/load/ticket.go
@@ -47,6 +47,13 @@
 	return err
 }
 
+// drop forgets the ids of an entry VM that may have been replaced.
+func (t *tickets) drop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ids = nil
+}
+
 func requestTickets(client *fasthttp.HostClient) ([]string, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -70,13 +77,15 @@
 // prepare fills the stocks if the profile needs tickets.
 func (r *runner) prepare() error {
 	p := r.profile
-	if p.Cancel.Share == 0 && p.Resubmit.Share == 0 && len(p.Waves) == 0 {
+	if p.Cancel.Share == 0 && p.Resubmit.Share == 0 && len(p.Waves) == 0 && !r.balance.enabled {
 		return nil
 	}
-	for _, t := range r.tickets {
-		if err := t.fill(); err != nil {
+	for i, t := range r.tickets {
+		err := t.fill()
+		if err != nil && !r.balance.enabled {
 			return err
 		}
+		r.balance.ready[i].Store(err == nil)
 	}
 	return nil
 }
