Add a chaos run over real processes

Cause: no run combined faults of entry VMs, links, endpoints and the platform under load. Weighed: bash for the whole run was ruled out, since the schedule and the verdict need tests.

--- /dev/null
+++ b/chaos/verdict.go
@@ -0,0 +1,118 @@
+package chaos
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"samphireplank.example/samphireplank/load"
+)
+
+// judgeLoad checks what the load tool reports.
+func judgeLoad(report *load.Report, r *record, c *cluster) {
+	counts := report.Checks
+	for _, check := range []struct {
+		name  string
+		count int
+	}{
+		{"no second start of a task that is not idempotent", counts.StartsExtra},
+		{"no partial answer", counts.Partial},
+		{"no crossed answer", counts.Crossed},
+		{"no contradictory answers", counts.Contradictory},
+		{"not-run is true", counts.NotRunStarted},
+		{"complete tasks were started", counts.CompleteUnstarted},
+	} {
+		if check.count != 0 {
+			r.violation(check.name, fmt.Sprintf("%d cases", check.count))
+		}
+	}
+	if report.Broken > len(report.Breaks) {
+		r.violation("broken calls can be judged", fmt.Sprintf("%d of %d are listed", len(report.Breaks), report.Broken))
+	}
+	for _, b := range report.Breaks {
+		judgeBreak(b, r, c)
+	}
+}
+
+// judgeBreak allows a call without an answer only if its entry VM was killed, or frozen for a missing answer.
+func judgeBreak(b load.Break, r *record, c *cluster) {
+	// A connection from before a kill may be used until the load tool has seen the new process.
+	const slack = time.Second
+	excused := overlapping(r.spans, b.Sent.Add(-slack), b.At, func(e Event) bool {
+		return e.entry() && c.entryAddress(e.Entry) == b.Entry && (e.Kind == Kill || e.Kind == Freeze && b.Timeout)
+	})
+	if len(excused) > 0 {
+		return
+	}
+	stops := overlapping(r.spans, b.Sent, b.At, func(e Event) bool {
+		return e.Kind == Stop && c.entryAddress(e.Entry) == b.Entry
+	})
+	check := "a live entry VM answers every call"
+	if len(stops) > 0 {
+		check = "a planned stop cuts off no call"
+	}
+	r.violation(check, fmt.Sprintf("call to %s sent at %s, broken at %s: %s (stops: %v)",
+		b.Entry, b.Sent.Format(clock), b.At.Format(clock), b.Reason, stops))
+}
+
+// clock is the form of times in the report, as in the logs of the processes.
+const clock = "15:04:05.000"
+
+// write prints the report of a run and returns ErrViolated if a check did not hold.
+func (r *record) write(cfg Config, report *load.Report) error {
+	var b strings.Builder
+	outcomes := map[string]int{}
+	jobs, tasks := 0, 0
+	for _, class := range report.Classes {
+		jobs, tasks = jobs+class.Jobs, tasks+class.Tasks
+		for name, count := range class.Outcomes {
+			outcomes[name] += count
+		}
+	}
+	fmt.Fprintf(&b, "%d jobs with %d tasks: %s\n", jobs, tasks, counted(outcomes))
+	fmt.Fprintf(&b, "%d starts, %d of them retries of idempotent kinds, %d of jobs without an answer, %d refusals\n",
+		report.Work.Starts, report.Work.Retries, report.Work.Unattributed, report.Work.Refusals)
+	fmt.Fprintf(&b, "%d calls broken or without an answer, %d calls moved to another entry VM before they were sent\n", report.Broken, report.Failovers)
+	fmt.Fprintf(&b, "exit codes of publish: %s; %d looks at generations\n", counted(r.published), r.polls)
+	if len(r.violations) == 0 {
+		fmt.Fprintf(&b, "seed %d: all checks hold\n", cfg.Seed)
+		_, err := io.WriteString(cfg.Out, b.String())
+		return err
+	}
+	r.writeViolations(&b, cfg)
+	if _, err := io.WriteString(cfg.Out, b.String()); err != nil {
+		return err
+	}
+	return fmt.Errorf("seed %d: %w: %d violations", cfg.Seed, ErrViolated, len(r.violations))
+}
+
+// maxPrinted bounds the violations that are printed.
+const maxPrinted = 40
+
+func (r *record) writeViolations(b *strings.Builder, cfg Config) {
+	fmt.Fprintf(b, "seed %d: %d VIOLATIONS\n", cfg.Seed, len(r.violations))
+	for _, v := range r.violations[:min(len(r.violations), maxPrinted)] {
+		fmt.Fprintf(b, "  %s: %s\n", v.Check, v.Detail)
+	}
+	b.WriteString("events with the times of their effect:\n")
+	sort.Slice(r.spans, func(i, j int) bool { return r.spans[i].event.Number < r.spans[j].event.Number })
+	for _, s := range r.spans {
+		fmt.Fprintf(b, "  %s to %s %s\n", s.from.Format(clock), s.to.Format(clock), s.event)
+	}
+	fmt.Fprintf(b, "logs are in %s\n", cfg.Logs)
+}
+
+func counted(counts map[string]int) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
