Chaos: load one zone to its capacity and judge every kind of answer

Cause: with an even load no job was forwarded to another zone, so link cuts met few calls; a kill that waited for a planned stop on the same VM excused broken calls during that stop; invalid, malformed and unreachable outcomes were not judged.

--- a/chaos/cluster.go
+++ b/chaos/cluster.go
@@ -35,6 +35,7 @@
 	startTimeout = 20 * time.Second
 	stopTimeout  = 45 * time.Second
 	drainDelay   = time.Second
+	listLag      = time.Second // of the platform's list of VMs
 )
 
 // cluster is the running processes of a run.
@@ -150,7 +151,9 @@
 }
 
 func (c *cluster) startStandins(ctx context.Context) error {
-	if err := c.startStandin(ctx, "platform", c.platform(), "platform", "--listen", c.platform()); err != nil {
+	err := c.startStandin(ctx, "platform", c.platform(), "platform", "--listen", c.platform(),
+		"--list-lag-ms", strconv.FormatInt(listLag.Milliseconds(), 10))
+	if err != nil {
 		return err
 	}
 	for i, zone := range zones {
--- a/chaos/inject.go
+++ b/chaos/inject.go
@@ -43,6 +43,8 @@
 			if !sleep(ctx, time.Until(start.Add(event.At))) {
 				return nil
 			}
+			// The wait for an earlier event on the same target is no part of the time that excuses broken calls.
+			defer i.occupy(event)()
 			from := time.Now()
 			err := i.carryOut(ctx, event)
 			i.record.span(span{event: event, from: from, to: time.Now()})
@@ -55,6 +57,22 @@
 	return group.Wait()
 }
 
+// occupy waits until no other event restarts the target of an event that restarts it, and returns the function that
+// ends this. All other events may hit a target at any moment.
+func (i *injector) occupy(e Event) (release func()) {
+	var life *sync.Mutex
+	switch e.Kind {
+	case Kill, Stop:
+		life = &i.cluster.entries[e.Entry].life
+	case EndpointLeave, EndpointRestart:
+		life = i.restart(e.Endpoint)
+	default:
+		return func() {}
+	}
+	life.Lock()
+	return life.Unlock
+}
+
 func (i *injector) carryOut(ctx context.Context, e Event) error {
 	switch {
 	case e.entry():
@@ -89,9 +107,6 @@
 		p.signal(syscall.SIGCONT)
 		return nil
 	}
-	// A VM that is being stopped or restarted is killed or stopped after that.
-	vm.life.Lock()
-	defer vm.life.Unlock()
 	if e.Kind == Kill {
 		vm.current().kill()
 	} else {
@@ -117,9 +132,6 @@
 
 // restartEndpoint stops an endpoint after a notice or without one, and starts it again.
 func (i *injector) restartEndpoint(ctx context.Context, e Event) error {
-	life := i.restart(e.Endpoint)
-	life.Lock()
-	defer life.Unlock()
 	actions := []string{"stop", "start"}
 	if e.Kind == EndpointLeave {
 		actions = []string{"leave", "stop", "start"}
@@ -175,7 +187,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.platform = toggle(i.platform, e, change)
-	var faults standin.PlatformFaults
+	faults := standin.PlatformFaults{ListLagMS: int(listLag.Milliseconds())}
 	for _, active := range i.platform {
 		switch active.Kind {
 		case PlatformDown:
--- a/chaos/record.go
+++ b/chaos/record.go
@@ -12,6 +12,7 @@
 	violations []Violation
 	published  map[string]int // exit codes of publish, as text
 	polls      int            // answers of /v1/status
+	forwards   int            // at least, since the counts of killed entry VMs are lost
 }
 
 // Violation is a check that did not hold.
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -76,6 +76,7 @@
 	side.Go(func() error { return watchGenerations(during, c, r) })
 	err := main.Wait()
 	if err == nil {
+		r.forwards = c.forwards(ctx)
 		c.checkLast(ctx, r)
 	}
 	end()
@@ -136,12 +137,14 @@
 	return &report, nil
 }
 
-// profileText is half of the capacity in jobs with short deadlines, so that planned stops don't take long.
+// profileText is half of the capacity in jobs with short deadlines, so that planned stops don't take long. The first
+// zone gets most of it, about its capacity, so that jobs are forwarded to other zones.
 const profileText = `
 name: chaos
 duration: 30s
 load: 0.5
 slots: 192
+weights: [5, 4, 3, 2, 1, 1, 1, 1, 1]
 cancel: {share: 0.03, after: 100ms}
 resubmit: {share: 0.05, after: 400ms}
 mixes:
--- a/chaos/verdict.go
+++ b/chaos/verdict.go
@@ -13,6 +13,7 @@
 // judgeLoad checks what the load tool reports.
 func judgeLoad(report *load.Report, r *record, c *cluster) {
 	counts := report.Checks
+	outcomes := totals(report)
 	for _, check := range []struct {
 		name  string
 		count int
@@ -23,6 +24,9 @@
 		{"no contradictory answers", counts.Contradictory},
 		{"not-run is true", counts.NotRunStarted},
 		{"complete tasks were started", counts.CompleteUnstarted},
+		{"valid jobs are not refused as invalid", outcomes["invalid"]},
+		{"answers are well-formed", outcomes["malformed"]},
+		{"an entry VM can be reached", outcomes["unreachable"]},
 	} {
 		if check.count != 0 {
 			r.violation(check.name, fmt.Sprintf("%d cases", check.count))
@@ -36,6 +40,17 @@
 	}
 }
 
+// totals returns the outcomes of all jobs.
+func totals(report *load.Report) map[string]int {
+	outcomes := map[string]int{}
+	for _, class := range report.Classes {
+		for name, count := range class.Outcomes {
+			outcomes[name] += count
+		}
+	}
+	return outcomes
+}
+
 // judgeBreak allows a call without an answer only if its entry VM was killed, or frozen for a missing answer.
 func judgeBreak(b load.Break, r *record, c *cluster) {
 	// A connection from before a kill may be used until the load tool has seen the new process.
@@ -63,18 +78,11 @@
 // write prints the report of a run and returns ErrViolated if a check did not hold.
 func (r *record) write(cfg Config, report *load.Report) error {
 	var b strings.Builder
-	outcomes := map[string]int{}
-	jobs, tasks := 0, 0
-	for _, class := range report.Classes {
-		jobs, tasks = jobs+class.Jobs, tasks+class.Tasks
-		for name, count := range class.Outcomes {
-			outcomes[name] += count
-		}
-	}
-	fmt.Fprintf(&b, "%d jobs with %d tasks: %s\n", jobs, tasks, counted(outcomes))
+	fmt.Fprintf(&b, "jobs: %s\n", counted(totals(report)))
 	fmt.Fprintf(&b, "%d starts, %d of them retries of idempotent kinds, %d of jobs without an answer, %d refusals\n",
 		report.Work.Starts, report.Work.Retries, report.Work.Unattributed, report.Work.Refusals)
 	fmt.Fprintf(&b, "%d calls broken or without an answer, %d calls moved to another entry VM before they were sent\n", report.Broken, report.Failovers)
+	fmt.Fprintf(&b, "at least %d jobs forwarded to another zone\n", r.forwards)
 	fmt.Fprintf(&b, "exit codes of publish: %s; %d looks at generations\n", counted(r.published), r.polls)
 	if len(r.violations) == 0 {
 		fmt.Fprintf(&b, "seed %d: all checks hold\n", cfg.Seed)
--- a/chaos/verdict_test.go
+++ b/chaos/verdict_test.go
@@ -52,10 +52,15 @@
 func TestJudgeLoad(t *testing.T) {
 	is := is.New(t)
 	r := newRecord()
-	judgeLoad(&load.Report{Checks: load.Checks{StartsExtra: 1, Partial: 1, Crossed: 1, Contradictory: 1, NotRunStarted: 1, CompleteUnstarted: 1}, Broken: 1}, r, &cluster{})
-	is.Equal(len(r.violations), 7)
+	wrong := load.ClassReport{Outcomes: map[string]int{"invalid": 1, "malformed": 1, "unreachable": 1, "complete": 1}}
+	judgeLoad(&load.Report{
+		Checks:  load.Checks{StartsExtra: 1, Partial: 1, Crossed: 1, Contradictory: 1, NotRunStarted: 1, CompleteUnstarted: 1},
+		Classes: []load.ClassReport{wrong}, Broken: 1,
+	}, r, &cluster{})
+	is.Equal(len(r.violations), 10)
 	r = newRecord()
-	judgeLoad(&load.Report{}, r, &cluster{})
+	right := load.ClassReport{Outcomes: map[string]int{"complete": 9, "unknown": 1, "not-run": 1, "failed": 1, "broken": 1}}
+	judgeLoad(&load.Report{Classes: []load.ClassReport{right}}, r, &cluster{})
 	is.Equal(len(r.violations), 0)
 }
 
--- a/chaos/watch.go
+++ b/chaos/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -91,3 +92,21 @@
 		}
 	}
 }
+
+// forwards returns how many jobs the entry VMs have forwarded to other zones since their last start.
+func (c *cluster) forwards(ctx context.Context) int {
+	sum := 0
+	for i := range c.entries {
+		data, err := c.http.call(ctx, http.MethodGet, "http://"+c.entryAddress(i)+"/metrics", nil)
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			var count int
+			if n, _ := fmt.Sscanf(line, "samphireplank_forwards_total %d", &count); n == 1 {
+				sum += count
+			}
+		}
+	}
+	return sum
+}
