--- a/cmd/samphireplank/force.go
+++ b/cmd/samphireplank/force.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"samphireplank.example/samphireplank/entry"
 	"samphireplank.example/samphireplank/platform"
 )
 
@@ -34,6 +35,7 @@
 	Address    string `json:"address"`
 	Generation uint64 `json:"generation"`
 	Error      string `json:"error,omitempty"` // why the generation is not known
+	full       entry.Status
 }
 
 // String names the VM and says what it has in force.
@@ -140,32 +142,31 @@
 	status := vmStatus{ID: vm.ID, Zone: vm.Zone, Address: vm.Address}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	generation, err := askGeneration(ctx, vm.Address)
+	full, err := askStatus(ctx, vm.Address)
 	if err != nil {
 		status.Error = err.Error()
 	}
-	status.Generation = generation
+	status.Generation = full.Generation
+	status.full = full
 	return status
 }
 
-func askGeneration(ctx context.Context, address string) (uint64, error) {
+func askStatus(ctx context.Context, address string) (entry.Status, error) {
+	var status entry.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
 	if err != nil {
-		return 0, err
+		return status, err
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, err
+		return status, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("GET /v1/status answered %s", response.Status)
-	}
-	var status struct {
-		Generation uint64 `json:"generation"`
+		return status, fmt.Errorf("GET /v1/status answered %s", response.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusSize)).Decode(&status); err != nil {
-		return 0, fmt.Errorf("GET /v1/status: %w", err)
+		return status, fmt.Errorf("GET /v1/status: %w", err)
 	}
-	return status.Generation, nil
+	return status, nil
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -36,7 +36,9 @@
 		VM:          e.config.VM,
 		Zone:        e.config.Zone,
 		Incarnation: e.incarnation,
-		Peers:       e.table.Peers(),
+		Peers:       append([]platform.VM{}, e.table.Peers()...),
+		Silent:      []string{},
+		Services:    []ServiceStatus{},
 	}
 	for _, vm := range e.table.Known() {
 		if !contains(status.Peers, vm.ID) {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,7 +14,10 @@
 var ErrDuplicate = errors.New("job is already queued or running")
 
 // Flow is the unit between which slots are shared.
-type Flow struct{ Priority, Team string }
+type Flow struct {
+	Priority string `json:"priority"`
+	Team     string `json:"team"`
+}
 
 // Compare orders flows by priority name and then by team name.
 func (f Flow) Compare(other Flow) int {
@@ -41,9 +44,9 @@
 
 // Demand is the number of queued and running tasks of one flow.
 type Demand struct {
-	Flow    Flow
-	Queued  int
-	Running int
+	Flow
+	Queued  int `json:"queued"`
+	Running int `json:"running"`
 }
 
 // Target is the number of slots that one flow is entitled to on one VM.
--- a/slot/ledger.go
+++ b/slot/ledger.go
@@ -66,14 +66,14 @@
 
 // Counts are the numbers of slots by state.
 type Counts struct {
-	Owned    int // slots of the endpoints that this VM owns
-	Lent     int
-	Borrowed int // loans held, in use or not
-	InUse    int // tasks in flight, on owned and borrowed slots
-	Idle     int // owned or borrowed slots that Take may give
-	Withheld int
-	Occupied int // owned slots that peers occupy outside of loans
-	Waiting  int // owned slots that are not yet usable after a change of owner or a freeze
+	Owned    int `json:"owned"` // slots of the endpoints that this VM owns
+	Lent     int `json:"lent"`
+	Borrowed int `json:"borrowed"` // loans held, in use or not
+	InUse    int `json:"in-use"`   // tasks in flight, on owned and borrowed slots
+	Idle     int `json:"idle"`     // owned or borrowed slots that Take may give
+	Withheld int `json:"withheld"`
+	Occupied int `json:"occupied"` // owned slots that peers occupy outside of loans
+	Waiting  int `json:"waiting"`  // owned slots that are not yet usable after a change of owner or a freeze
 }
 
 // Ledger keeps the slots of one service on one entry VM; it isn't safe for concurrent use.
