Ask the seed peers at the same time and apart from the membership loop

Peers behind a partition take connections and answer nothing, so with 6 of 8 peers in cut zones the VM noticed no lost peer and applied no change of endpoints for up to 12 s, while /readyz was on as soon as the platform gave a configuration. Weighed: a shorter time limit per peer was ruled out, since fetching a set of 1 MiB needs time. Only the table is asked for in parallel; the configuration is still fetched from one peer at a time. Conclusion: TestMembershipWithSilentPeers fails without the change; go test -race ./entry passes.

--- a/entry/membership.go
+++ b/entry/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -19,7 +20,10 @@
 
 // membershipLoop finds lost peers and tells the cores of changes.
 func (e *Entry) membershipLoop() {
-	e.askSeeds()
+	e.group.Go(func() error {
+		e.askSeeds()
+		return nil
+	})
 	ticker := time.NewTicker(membershipPeriod)
 	defer ticker.Stop()
 	for {
@@ -41,16 +45,28 @@
 	}
 }
 
-// askSeeds gets membership and configuration from the peers of the settings, which works without the platform.
+// askSeeds gets membership and configuration from the peers of the settings, which works without the platform. Peers
+// are asked at the same time, since those behind a partition take their whole time limit.
 func (e *Entry) askSeeds() {
+	var group errgroup.Group
+	var fetching sync.Mutex // one peer is enough to fetch the configuration from
 	for _, address := range e.config.Peers {
-		if address == e.self.LinkAddress || !e.fetchTableFrom(address) {
+		if address == e.self.LinkAddress {
 			continue
 		}
-		if e.force.Load() == nil {
-			e.fetchConfiguration(address, address)
-		}
+		group.Go(func() error {
+			if !e.fetchTableFrom(address) {
+				return nil
+			}
+			fetching.Lock()
+			defer fetching.Unlock()
+			if e.force.Load() == nil {
+				e.fetchConfiguration(address, address)
+			}
+			return nil
+		})
 	}
+	_ = group.Wait() // no function returns an error
 }
 
 // applyMembership gives the cores their endpoints, owners and peers; the caller holds configure.
--- /dev/null
+++ b/entry/seed_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/publication"
+)
+
+// silentPeers returns addresses that accept connections and answer nothing, as entry VMs behind a partition do.
+func silentPeers(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// publishedObjects returns a platform on which the objects of the load profiles are published.
+func publishedObjects(t *testing.T) *platform.Memory {
+	t.Helper()
+	data, err := os.ReadFile("../examples/profiles/objects.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, problems := contract.Read([]contract.File{{Name: "objects.yaml", Data: data}})
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	memory := platform.NewMemory()
+	if _, err := publication.New(publication.Config{Store: memory, Author: "test"}).Publish(t.Context(), set, "test"); err != nil {
+		t.Fatal(err)
+	}
+	return memory
+}
+
+// Guards against an entry VM that starts behind a partition and takes no change of membership until every peer has
+// timed out.
+func TestMembershipWithSilentPeers(t *testing.T) {
+	is := is.New(t)
+	memory := publishedObjects(t)
+	e, err := New(Config{
+		VM: "entry-1", Zone: "zone-a", Listen: "127.0.0.1:0", LinkListen: "127.0.0.1:0", Peers: silentPeers(t, 4),
+		StopTimeout: time.Second, Store: memory, Directory: memory,
+	})
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return e.Run(ctx) })
+	time.Sleep(200 * time.Millisecond) // the configuration is in force
+	is.NoErr(memory.Register(ctx, platform.VM{
+		ID: "endpoint-1", Zone: "zone-a", Role: platform.RoleEndpoint, Service: "cue", Address: "127.0.0.1:1",
+		Incarnation: 1, State: platform.StateLive,
+	}))
+	began := time.Now()
+	for time.Since(began) < 20*time.Second && endpoints(e) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	took := time.Since(began)
+	stop()
+	is.NoErr(group.Wait())
+	t.Logf("the endpoint is in use after %v", took)
+	is.True(took < time.Second)
+}
+
+func endpoints(e *Entry) int {
+	count := 0
+	for _, s := range e.Status().Services {
+		count += s.Endpoints
+	}
+	return count
+}
