Answer unknown instead of not-run when the home of an id could not be asked

Cause: a submission under a ticket whose home is lost runs at the receiving VM if its kind is idempotent. When that VM refused it (no endpoint, expected wait, queue full, deadline, cancellation) it answered not-run, although the home may have started its tasks before (guarantee 4). A VM without a configuration answered not-run to every such submission. Weighed: refusing idempotent kinds without a home was ruled out; section 4.2 of the design has them run. Change: a record that runs without its home turns not-run into unknown, and a VM without a configuration answers unknown to a submission under another VM's id. Figures: TestRefusalWithoutHomeIsUnknown fails in both cases before and passes after the change, with -race.

--- /dev/null
+++ b/entry/orphan_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/platform"
+)
+
+// Guards against a refusal that says not-run about a submission that its home may have run before it was lost.
+func TestRefusalWithoutHomeIsUnknown(t *testing.T) {
+	stores := map[string]*platform.Memory{"refused by the core": publishedObjects(t), "no configuration": platform.NewMemory()}
+	for name, memory := range stores {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, err := New(Config{
+				VM: "entry-1", Zone: "zone-a", Listen: "127.0.0.1:0", LinkListen: "127.0.0.1:0",
+				StopTimeout: time.Second, Store: memory, Directory: memory,
+			})
+			is.NoErr(err)
+			ctx, stop := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error { return e.Run(ctx) })
+			time.Sleep(200 * time.Millisecond) // the configuration is in force if there is one
+			id := job.ID{Zone: "zone-b", VM: "entry-2", Incarnation: 1, Sequence: 1}
+			// The kind is idempotent, so the submission is tried here; there are no endpoints to run it.
+			_, err = e.Submit(ctx, job.Submission{ID: id, Kind: "next-line", Team: "studio", Bodies: [][]byte{[]byte("{}")}})
+			is.NoErr(err)
+			answer, err := e.Await(ctx, id, time.Second)
+			is.NoErr(err)
+			is.Equal(answer.Outcome, job.Unknown)
+			stop()
+			is.NoErr(group.Wait())
+		})
+	}
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphireplank.example/samphireplank/contract"
@@ -38,6 +39,7 @@
 	tasks      int
 	accepted   time.Time
 	done       chan struct{} // closed when answer is set
+	orphan     atomic.Bool   // runs here since its home could not be asked, which may have run it before
 
 	mu      sync.Mutex
 	results []job.Result
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -35,6 +35,11 @@
 // Submit accepts a submission of a caller and returns its id.
 func (e *Entry) Submit(_ context.Context, s job.Submission) (job.ID, error) {
 	kind, err := e.checkSubmission(&s)
+	var refused *caller.NotRunError
+	if errors.As(err, &refused) && s.ID != (job.ID{}) && !e.isHome(s.ID) {
+		e.answerUnknown(newRecord(s, kind), "the home of the id could not be asked: "+refused.Reason)
+		return s.ID, nil
+	}
 	if err != nil {
 		return job.ID{}, err
 	}
@@ -141,6 +146,7 @@
 		case reached:
 			e.complete(rec, answer)
 		case kind.Idempotent:
+			rec.orphan.Store(true)
 			e.dispatch(rec, false)
 		default:
 			e.complete(rec, answer)
@@ -230,6 +236,10 @@
 
 // complete gives a submission its answer and wakes its callers.
 func (e *Entry) complete(rec *record, answer job.Answer) {
+	if answer.Outcome == job.NotRun && rec.orphan.Load() {
+		reason := fmt.Sprintf("not run here (%s), but the entry VM %q that issued the id could not be asked", answer.Reason, answer.ID.VM)
+		answer = job.Answer{ID: answer.ID, Outcome: job.Unknown, Reason: reason}
+	}
 	if !rec.finish(answer) {
 		return
 	}
