--- a/chaos/cluster.go
+++ b/chaos/cluster.go
@@ -147,6 +147,11 @@
 			return err
 		}
 	}
+	for i := range c.entries {
+		if err := c.awaitEndpoints(ctx, i); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -191,6 +196,21 @@
 	return c.await(ctx, vm.current(), "http://"+c.entryAddress(vm.index)+"/readyz")
 }
 
+// awaitEndpoints returns when an entry VM knows the endpoints of its zone, which the platform lists after a lag.
+func (c *cluster) awaitEndpoints(ctx context.Context, i int) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		s, err := c.status(ctx, i)
+		if err == nil && len(s.Services) == 1 && s.Services[0].Endpoints == endpointsPerZone {
+			return nil
+		}
+		if !sleep(ctx, statusPeriod) {
+			return fmt.Errorf("entry-%d does not know its endpoints after %v: %+v: %w", i, startTimeout, s, err)
+		}
+	}
+}
+
 func (c *cluster) log(name string) string { return filepath.Join(c.cfg.Logs, name+".log") }
 
 // startEntry starts the process of an entry VM, which other entry VMs reach through its relay.
--- a/chaos/watch.go
+++ b/chaos/watch.go
@@ -19,6 +19,9 @@
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"incarnation"`
 	Generation  uint64 `json:"generation"`
+	Services    []struct {
+		Endpoints int `json:"endpoints"`
+	} `json:"services"`
 }
 
 // generationCheck finds generations that go down.
