Borrow slots only for tasks that quotas let start

Cause: the ledger asked peers for a slot for each queued task, also for tasks of teams at their quota; such slots were lent, found no task and went back after 50 ms, again and again. Change: queue.Startable counts queued tasks within the room of all limits, and the ledger gets that number. The new test compares it with what Next hands out; with the former number it fails (45 and 9 at no slots).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -154,7 +154,7 @@
 
 // requestSlots lets the ledger borrow, return, renew and recall loans.
 func (c *Core) requestSlots(now time.Time) {
-	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.share.targets, c.outgoing[:0])
+	c.outgoing = c.ledger.Tick(now, c.queue.Startable(), c.share.targets, c.outgoing[:0])
 	c.sendSlotMessages()
 }
 
--- a/queue/edge_test.go
+++ b/queue/edge_test.go
@@ -198,3 +198,22 @@
 		is.Equal(task, Task{Job: id(2), Flow: flow})
 	}
 }
+
+// Guards against slots that are borrowed from other VMs for tasks that a quota forbids to start.
+func TestStartableIsWhatNextHandsOut(t *testing.T) {
+	for _, slots := range []int{0, 1, 10, 40, 1000} {
+		is := is.New(t)
+		q := New(Config{Policy: Fair, Set: smallSet()})
+		q.SetZone(slots, []Demand{{Flow: Flow{"normal", "a"}, Running: 2}})
+		for i, team := range []string{"a", "b", "c", "d", "a"} {
+			flow := Flow{"normal", team}
+			is.NoErr(q.Push(epoch, Item{Job: id(i + 1), Flow: flow, Tasks: 9}))
+		}
+		startable, handed := q.Startable(), 0
+		for _, ok := q.Next(epoch); ok; _, ok = q.Next(epoch) {
+			handed++
+		}
+		is.Equal(startable, handed)
+		is.Equal(q.Startable(), 0)
+	}
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -202,6 +202,28 @@
 // Queued returns the number of queued tasks of all flows.
 func (q *Queue) Queued() int { return q.queued }
 
+// Startable returns the number of queued tasks that quotas would let start if there were slots for them.
+func (q *Queue) Startable() int {
+	total := 0
+	for _, f := range q.active {
+		count := f.queued
+		for _, l := range f.limits {
+			count = min(count, l.room()-l.counted)
+		}
+		count = max(count, 0)
+		for _, l := range f.limits {
+			l.counted += count
+		}
+		total += count
+	}
+	for _, f := range q.active {
+		for _, l := range f.limits {
+			l.counted = 0
+		}
+	}
+	return total
+}
+
 // QueuedAhead returns the number of queued tasks that compete with a new job of the flow for the same slots.
 func (q *Queue) QueuedAhead(name Flow) int {
 	rank := q.rules.rank(name.Priority)
--- a/queue/rules.go
+++ b/queue/rules.go
@@ -29,6 +29,7 @@
 	elsewhere int // running on other VMs of the zone
 	quota     int // slots of the zone
 	share     int // of quota on this VM, unlimited when not given
+	counted   int // tasks that Startable has counted
 }
 
 // full reports whether the quota forbids another task.
@@ -36,6 +37,11 @@
 	return l.running >= l.share || l.running+l.elsewhere >= l.quota
 }
 
+// room returns the number of tasks that the quota still allows, which may be negative.
+func (l *limit) room() int {
+	return min(l.share-l.running, l.quota-l.running-l.elsewhere)
+}
+
 // under reports whether the limit is other or below it.
 func (l *limit) under(other *limit) bool {
 	for ; l != nil; l = l.parent {
