Offer idempotent jobs that would wait to a zone with idle slots

Cause: at 70% load the 99th percentile of the slowdown was 1.5 to 1.9 (target 1.5) while the endpoints were 66% busy: jobs of up to 150 tasks met busy slots of one zone while other zones had idle ones. Ruled out: kinds that are not idempotent, since a link that breaks would turn a short wait into an unknown answer; offers on summaries that are a second old, hence two summaries a second. Change: the core offers such a job; the entry VM forwards it to the zone with the most idle slots, which takes it only if slots are idle for all of its tasks, and runs it itself otherwise.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -34,6 +34,11 @@
 		return
 	}
 	kind := c.kinds[m.Kind]
+	if c.config.OfferJobs && kind.Idempotent && !m.Forwarded && !m.Offered && c.idle() < m.Tasks {
+		m.Offered = true
+		c.emit(Offer{Submit: m})
+		return
+	}
 	flow := queue.Flow{Priority: kind.Priority, Team: m.Team}
 	item := queue.Item{Job: m.Job, Flow: flow, Tasks: m.Tasks, Deadline: m.Deadline}
 	if err := c.queue.Push(now, item); err != nil {
@@ -72,6 +77,9 @@
 // admitInTime refuses a job for which the queue has no room, or that is expected to end after its deadline.
 func (c *Core) admitInTime(now time.Time, m Submit, flow queue.Flow) (refusal Finish, refused bool) {
 	load := c.load(m, flow)
+	if m.IfIdle && load.Idle < m.Tasks {
+		return Finish{Reason: fmt.Sprintf("%d slots are idle for %d tasks", load.Idle, m.Tasks), RetryAfter: load.Drain(m.Tasks)}, true
+	}
 	if reason, full := c.queue.Full(flow, m.Tasks); full {
 		return Finish{Reason: reason, RetryAfter: load.Drain(m.Tasks), Overflow: !m.Forwarded}, true
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,6 +24,7 @@
 	Incarnation uint64 // of this entry VM
 	Service     string
 	Set         *contract.Set
+	OfferJobs   bool // offer idempotent jobs that would wait to other zones
 	SlotPolicy  slot.Policy
 	QueuePolicy queue.Policy
 }
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -31,6 +31,10 @@
 	Overflow   bool // not run here for lack of slots; an entry VM of another zone may run it
 }
 
+// Offer asks for an entry VM of another zone with idle slots for a job that would wait here. The caller answers with a
+// Submit that is marked as Offered if there is none or if it does not run the job.
+type Offer struct{ Submit Submit }
+
 // SendPeer delivers a message to an entry VM of the own zone; the message may get lost.
 type SendPeer struct {
 	Peer string
@@ -46,5 +50,6 @@
 
 func (Start) effect()    {}
 func (Finish) effect()   {}
+func (Offer) effect()    {}
 func (SendPeer) effect() {}
 func (Probe) effect()    {}
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -20,6 +20,8 @@
 	Tasks     int
 	Deadline  time.Time
 	Forwarded bool // came from another zone and is not forwarded again
+	IfIdle    bool // is refused unless slots are idle for all of its tasks
+	Offered   bool // was offered to other zones before
 }
 
 // Cancel withdraws a job; tasks in flight are not interrupted.
--- a/entry/await.go
+++ b/entry/await.go
@@ -68,7 +68,21 @@
 	return err
 }
 
+// cancelRecord withdraws a submission here, and from the entry VM that it was forwarded to.
 func (e *Entry) cancelRecord(rec *record) {
+	rec.cancelled.Store(true)
+	if to := rec.delegate.Load(); to != nil {
+		e.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(e.ctx, peerStateTimeout)
+			defer cancel()
+			_, err := e.links.Cancel(ctx, to.LinkAddress, &linkpb.CancelRequest{Id: rec.submission.ID.String()})
+			if err != nil {
+				e.config.Log.Debug().Str("event", "cancel-failed").Str("job", rec.submission.ID.String()).Err(err).
+					Msg("could not cancel the job at the entry VM that runs it")
+			}
+			return nil
+		})
+	}
 	if s, ok := e.shardOf(rec.kind.Service); ok {
 		e.update(s, dispatch.Cancel{Job: rec.submission.ID})
 	}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -14,7 +14,7 @@
 
 const (
 	membershipPeriod   = 50 * time.Millisecond
-	summaryPeriod      = time.Second
+	summaryPeriod      = 500 * time.Millisecond
 	housekeepingPeriod = time.Second
 )
 
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return answerMessage(refusalOf(s.ID, err)), nil
 	}
-	rec, err := e.acceptForwarded(s, kind, r.OnBehalf)
+	rec, err := e.acceptForwarded(s, kind, r)
 	if err != nil {
 		return answerMessage(job.Answer{ID: s.ID, Outcome: job.Unknown, Reason: err.Error()}), nil
 	}
@@ -182,13 +182,13 @@
 }
 
 // acceptForwarded starts a forwarded submission unless its id was used before.
-func (e *Entry) acceptForwarded(s job.Submission, kind contract.Kind, onBehalf bool) (*record, error) {
+func (e *Entry) acceptForwarded(s job.Submission, kind contract.Kind, r *linkpb.ForwardRequest) (*record, error) {
 	rec := newRecord(s, kind)
-	if onBehalf {
+	if r.OnBehalf {
 		if !e.registry.acceptForeign(rec) {
 			return nil, errDuplicate
 		}
-		e.dispatch(rec, true)
+		e.dispatch(rec, dispatch.Submit{Forwarded: true, IfIdle: r.IfIdle})
 		return rec, nil
 	}
 	if !e.isHome(s.ID) {
@@ -201,7 +201,7 @@
 	case err != nil:
 		return nil, err
 	}
-	e.dispatch(rec, false)
+	e.dispatch(rec, dispatch.Submit{})
 	return rec, nil
 }
 
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -8,6 +8,7 @@
 
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/platform"
 )
 
 // Times for which the registry remembers what it has seen.
@@ -39,7 +40,9 @@
 	tasks      int
 	accepted   time.Time
 	done       chan struct{} // closed when answer is set
-	orphan     atomic.Bool   // runs here since its home could not be asked, which may have run it before
+	cancelled  atomic.Bool
+	delegate   atomic.Pointer[platform.VM] // the entry VM that runs it, while it is forwarded
+	orphan     atomic.Bool                 // runs here since its home could not be asked, which may have run it before
 
 	mu      sync.Mutex
 	results []job.Result
@@ -130,7 +133,8 @@
 
 // registry holds the submissions whose home is this VM, in shards by sequence number.
 type registry struct {
-	shards [registryShards]registryShard
+	shards  [registryShards]registryShard
+	pending atomic.Int64 // submissions without an answer
 }
 
 type registryShard struct {
@@ -178,6 +182,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.records[rec.submission.ID] = rec
+	r.pending.Add(1)
 }
 
 // acceptForeign adds a submission whose home is another VM and returns false if it is already here. An
@@ -190,6 +195,7 @@
 		return false
 	}
 	s.records[rec.submission.ID] = rec
+	r.pending.Add(1)
 	return true
 }
 
@@ -208,6 +214,7 @@
 	}
 	delete(s.tickets, rec.submission.ID)
 	s.records[rec.submission.ID] = rec
+	r.pending.Add(1)
 	return rec, nil
 }
 
@@ -222,6 +229,7 @@
 
 // answered starts the lifetime of a record's answer and drops the oldest answers beyond the bounds.
 func (r *registry) answered(now time.Time, rec *record) {
+	r.pending.Add(-1)
 	size := rec.answerSize()
 	s := r.shard(rec.submission.ID)
 	s.mu.Lock()
--- a/entry/shard.go
+++ b/entry/shard.go
@@ -61,6 +61,11 @@
 		})
 	case dispatch.Finish:
 		e.finish(s, effect)
+	case dispatch.Offer:
+		e.group.Go(func() error {
+			e.offerJob(s, effect.Submit)
+			return nil
+		})
 	case dispatch.SendPeer:
 		e.outboxes.add(effect.Peer, s.service, effect.Body)
 	case dispatch.Probe:
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -47,7 +47,7 @@
 		s.ID = e.mint()
 		rec := newRecord(s, kind)
 		e.registry.accept(rec)
-		e.dispatch(rec, false)
+		e.dispatch(rec, dispatch.Submit{})
 		return s.ID, nil
 	}
 	if e.isHome(s.ID) {
@@ -103,7 +103,7 @@
 		e.answerUnknown(rec, err.Error())
 		return nil
 	}
-	e.dispatch(rec, false)
+	e.dispatch(rec, dispatch.Submit{})
 	return nil
 }
 
@@ -114,7 +114,7 @@
 }
 
 // dispatch hands an accepted submission to the core of its service.
-func (e *Entry) dispatch(rec *record, forwarded bool) {
+func (e *Entry) dispatch(rec *record, m dispatch.Submit) {
 	s, ok := e.shardOf(rec.kind.Service)
 	if !ok {
 		e.complete(rec, job.Answer{
@@ -123,14 +123,12 @@
 		})
 		return
 	}
-	e.update(s, dispatch.Submit{
-		Job:       rec.submission.ID,
-		Kind:      rec.submission.Kind,
-		Team:      rec.submission.Team,
-		Tasks:     rec.tasks,
-		Deadline:  rec.submission.Deadline,
-		Forwarded: forwarded,
-	})
+	m.Job = rec.submission.ID
+	m.Kind = rec.submission.Kind
+	m.Team = rec.submission.Team
+	m.Tasks = rec.tasks
+	m.Deadline = rec.submission.Deadline
+	e.update(s, m)
 }
 
 // submitElsewhere forwards a submission to the home of its ticket. Without a reachable home only idempotent
@@ -147,7 +145,7 @@
 			e.complete(rec, answer)
 		case kind.Idempotent:
 			rec.orphan.Store(true)
-			e.dispatch(rec, false)
+			e.dispatch(rec, dispatch.Submit{})
 		default:
 			e.complete(rec, answer)
 		}
@@ -164,19 +162,19 @@
 		reason := fmt.Sprintf("the entry VM %q that issued the id is gone", id.VM)
 		return job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}, false
 	}
-	return e.forward(home, rec, false)
+	return e.forward(home, rec, &linkpb.ForwardRequest{})
 }
 
 // forward sends a submission to an entry VM and returns its answer, which is Unknown when none came.
-func (e *Entry) forward(to platform.VM, rec *record, onBehalf bool) (answer job.Answer, reached bool) {
+func (e *Entry) forward(to platform.VM, rec *record, request *linkpb.ForwardRequest) (answer job.Answer, reached bool) {
 	id := rec.submission.ID
+	rec.delegate.Store(&to)
+	defer rec.delegate.Store(nil)
 	ctx, cancel := context.WithDeadline(e.ctx, rec.submission.Deadline.Add(answerGrace))
 	defer cancel()
-	reply, err := e.links.Forward(ctx, to.LinkAddress, &linkpb.ForwardRequest{
-		From:       e.config.VM,
-		Submission: submissionMessage(rec),
-		OnBehalf:   onBehalf,
-	})
+	request.From = e.config.VM
+	request.Submission = submissionMessage(rec)
+	reply, err := e.links.Forward(ctx, to.LinkAddress, request)
 	if err == nil {
 		answer, err = parseAnswer(reply)
 		if err == nil && answer.ID == id {
@@ -218,7 +216,7 @@
 
 // overflow offers a submission to another zone and falls back to the refusal of this one.
 func (e *Entry) overflow(rec *record, other platform.VM, refusal job.Answer) {
-	answer, reached := e.forward(other, rec, true)
+	answer, reached := e.forward(other, rec, &linkpb.ForwardRequest{OnBehalf: true})
 	switch {
 	case !reached:
 		e.table.Unreachable(time.Now(), other.ID)
@@ -234,6 +232,46 @@
 	}
 }
 
+// offerJob lets another zone run an idempotent job that would wait here, and otherwise runs it here. A job whose forward
+// broke is run here too: a kind that is not idempotent is never offered.
+func (e *Entry) offerJob(s *shard, m dispatch.Submit) {
+	rec, ok := e.registry.find(m.Job)
+	if !ok {
+		return
+	}
+	if answer, ok := e.runElsewhere(s, rec); ok {
+		e.complete(rec, answer)
+		return
+	}
+	e.update(s, m)
+	if rec.cancelled.Load() {
+		e.update(s, dispatch.Cancel{Job: m.Job}) // the first one may have come before the job
+	}
+}
+
+// runElsewhere offers a job to the zone with the most idle slots and returns its answer if that zone ran it.
+func (e *Entry) runElsewhere(s *shard, rec *record) (job.Answer, bool) {
+	other, ok := e.table.BestZone(time.Now(), s.service, rec.tasks)
+	if !ok {
+		return job.Answer{}, false
+	}
+	answer, reached := e.forward(other, rec, &linkpb.ForwardRequest{OnBehalf: true, IfIdle: true})
+	switch {
+	case !reached:
+		e.table.Unreachable(time.Now(), other.ID)
+		return answer, false
+	case answer.Outcome == job.NotRun && !rec.cancelled.Load():
+		e.table.Refused(time.Now(), other.Zone)
+		e.metrics.forwardsRefused.Inc()
+		return answer, false
+	case answer.Outcome == job.Unknown && !rec.cancelled.Load():
+		return answer, false
+	}
+	e.table.Accepted(other.Zone)
+	e.metrics.forwards.Inc()
+	return answer, true
+}
+
 // complete gives a submission its answer and wakes its callers.
 func (e *Entry) complete(rec *record, answer job.Answer) {
 	if answer.Outcome == job.NotRun && rec.orphan.Load() {
