--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -35,9 +35,6 @@
 	service contract.Service
 	kinds   map[string]contract.Kind
 	teams   map[string]contract.Team
-	limits  map[string]contract.Limit
-
-	priorityShares map[string]int // percent by name
 
 	queue     *queue.Queue
 	ledger    *slot.Ledger
@@ -46,6 +43,7 @@
 	meanTimes map[string]float64 // seconds, expected run time of admitted tasks by priority
 	retries   *RetryBudget
 	jobs      map[job.ID]*jobState
+	failed    []job.ID // that wait for the end of tasks in flight
 	refusals  refusalBackoff
 
 	members   []Endpoint
@@ -137,14 +135,6 @@
 	for _, team := range set.Teams {
 		c.teams[team.Name] = team
 	}
-	c.limits = make(map[string]contract.Limit)
-	for _, limit := range set.Limits {
-		c.limits[limit.Name] = limit
-	}
-	c.priorityShares = make(map[string]int)
-	for _, priority := range set.Priorities {
-		c.priorityShares[priority.Name] = priority.Share
-	}
 	c.queue.Configure(set)
 	c.estimates.Configure(slices.Collect(maps.Values(c.kinds)))
 }
@@ -164,7 +154,7 @@
 
 // requestSlots lets the ledger borrow, return, renew and recall loans.
 func (c *Core) requestSlots(now time.Time) {
-	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.share.targets, c.outgoing[:0])
+	c.outgoing = c.ledger.Tick(now, c.queue.Startable(), c.share.targets, c.outgoing[:0])
 	c.sendSlotMessages()
 }
 
