Let teams with a quota start on an entry VM that had no demand

Jobs that left the queue at their deadline were answered not-run without a time to return. Change: the estimate counts on an equal part of the quota among the entry VMs of the zone; every not-run of an admitted job says when to return.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,9 @@
 // retryAfterNoEndpoint is the time to return given while no endpoint is live.
 const retryAfterNoEndpoint = 2 * time.Second
 
+// retryAfterLate is the time to return given with a job that was admitted and left the queue without a start.
+const retryAfterLate = 500 * time.Millisecond
+
 // waitMargin is the part of the expected wait that an admitted job may have to wait longer. A queue of half the time
 // that is left keeps the slots as busy as a longer one, and with a quarter 28 of 1,000 sends of a flood of short
 // deadlines were wasted on jobs that ended late.
@@ -104,7 +107,7 @@
 		RunTime:  runTime,
 		Ahead:    c.queue.QueuedAhead(flow),
 		MeanTime: runTime,
-		Slots:    c.queue.Entitled(flow),
+		Slots:    c.queue.Entitled(flow, len(c.peers)+1),
 		Idle:     c.idle(),
 	}
 	if mean, ok := c.meanTimes[flow.Priority]; ok {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -57,7 +57,11 @@
 		return
 	}
 	j.answered = true
-	c.emit(Finish{Job: id, Outcome: outcome, Reason: reason})
+	effect := Finish{Job: id, Outcome: outcome, Reason: reason}
+	if outcome == job.NotRun {
+		effect.RetryAfter = retryAfterLate
+	}
+	c.emit(effect)
 }
 
 // forget drops an answered job whose last running task has ended.
@@ -162,7 +166,7 @@
 	if j.started > 0 || j.running > 0 {
 		return runTime
 	}
-	slots := max(c.queue.Entitled(j.flow), float64(c.idle()), 1)
+	slots := max(c.queue.Entitled(j.flow, len(c.peers)+1), float64(c.idle()), 1)
 	return time.Duration(float64(runTime) * max(float64(j.tasks)/slots, 1))
 }
 
--- a/queue/compare_test.go
+++ b/queue/compare_test.go
@@ -213,7 +213,7 @@
 // admits reports whether the job is expected to meet its deadline.
 func (s *simulation) admits(j *simulatedJob) bool {
 	ahead := float64(s.queue.QueuedAhead(j.item.Flow) + j.item.Tasks)
-	slots := max(s.queue.Entitled(j.item.Flow), float64(simulationSlots-len(s.ends)))
+	slots := max(s.queue.Entitled(j.item.Flow, 1), float64(simulationSlots-len(s.ends)))
 	return !s.admission || ahead*meanRunTime/slots+meanRunTime <= simulatedClasses[j.class].deadline.Seconds()
 }
 
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -186,8 +186,9 @@
 
 // Entitled returns the slots of this VM that a flow could use if it had enough queued tasks, for estimates.
 //
-// Its target may be lower, because targets never exceed the demand.
-func (q *Queue) Entitled(name Flow) float64 {
+// Its target may be lower, because targets never exceed the demand. A VM without demand has no part of a quota until the
+// next allocation, so it may count on an equal part among the entry VMs of the zone.
+func (q *Queue) Entitled(name Flow, vms int) float64 {
 	slots := q.ownSlots()
 	c := q.rules.class(name.Priority)
 	weight := float64(max(q.rules.teams[name.Team].Weight, 1))
@@ -205,7 +206,7 @@
 		slots *= weight / active
 	}
 	for _, l := range q.rules.chain(name.Team) {
-		slots = min(slots, float64(l.quota), float64(l.share))
+		slots = min(slots, max(float64(l.share), float64(l.quota)/float64(max(vms, 1))), float64(l.quota))
 	}
 	return slots
 }
