See a reset that reaches the client before it writes

Change: the test reports the error of the write as what the client has seen; what it demands, a reset and no byte of an answer, is unchanged.

--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -39,7 +39,11 @@
 	}
 	defer func() { _ = c.Close() }()
 	body := `{"run-ms":20,"token":"t1"}`
-	_, _ = io.WriteString(c, "POST /run HTTP/1.1\r\nHost: x\r\nTask-Id: "+task+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	head := "POST /run HTTP/1.1\r\nHost: x\r\nTask-Id: " + task + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	// A reset is reported once: to the write if it comes before it, else to the read.
+	if _, err := io.WriteString(c, head+body); err != nil {
+		return string(endMark) + "error: " + err.Error()
+	}
 	_ = c.SetReadDeadline(time.Now().Add(wait))
 	var got bytes.Buffer
 	if _, err := io.Copy(&got, c); err != nil {
