--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,9 @@
 // retryAfterNoEndpoint is the time to return given while no endpoint is live.
 const retryAfterNoEndpoint = 2 * time.Second
 
+// retryAfterLate is the time to return given with a job that was admitted and left the queue without a start.
+const retryAfterLate = 500 * time.Millisecond
+
 // waitMargin is the part of the expected wait that an admitted job may have to wait longer. A queue of half the time
 // that is left keeps the slots as busy as a longer one, and with a quarter 28 of 1,000 sends of a flood of short
 // deadlines were wasted on jobs that ended late.
@@ -34,6 +37,11 @@
 		return
 	}
 	kind := c.kinds[m.Kind]
+	if c.config.OfferJobs && kind.Idempotent && !m.Forwarded && !m.Offered && c.idle() < m.Tasks {
+		m.Offered = true
+		c.emit(Offer{Submit: m})
+		return
+	}
 	flow := queue.Flow{Priority: kind.Priority, Team: m.Team}
 	item := queue.Item{Job: m.Job, Flow: flow, Tasks: m.Tasks, Deadline: m.Deadline}
 	if err := c.queue.Push(now, item); err != nil {
@@ -72,6 +80,9 @@
 // admitInTime refuses a job for which the queue has no room, or that is expected to end after its deadline.
 func (c *Core) admitInTime(now time.Time, m Submit, flow queue.Flow) (refusal Finish, refused bool) {
 	load := c.load(m, flow)
+	if m.IfIdle && load.Idle < m.Tasks {
+		return Finish{Reason: fmt.Sprintf("%d slots are idle for %d tasks", load.Idle, m.Tasks), RetryAfter: load.Drain(m.Tasks)}, true
+	}
 	if reason, full := c.queue.Full(flow, m.Tasks); full {
 		return Finish{Reason: reason, RetryAfter: load.Drain(m.Tasks), Overflow: !m.Forwarded}, true
 	}
@@ -96,7 +107,7 @@
 		RunTime:  runTime,
 		Ahead:    c.queue.QueuedAhead(flow),
 		MeanTime: runTime,
-		Slots:    c.queue.Entitled(flow),
+		Slots:    c.queue.Entitled(flow, len(c.peers)+1),
 		Idle:     c.idle(),
 	}
 	if mean, ok := c.meanTimes[flow.Priority]; ok {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,6 +24,7 @@
 	Incarnation uint64 // of this entry VM
 	Service     string
 	Set         *contract.Set
+	OfferJobs   bool // offer idempotent jobs that would wait to other zones
 	SlotPolicy  slot.Policy
 	QueuePolicy queue.Policy
 }
@@ -154,7 +155,7 @@
 
 // requestSlots lets the ledger borrow, return, renew and recall loans.
 func (c *Core) requestSlots(now time.Time) {
-	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.share.targets, c.outgoing[:0])
+	c.outgoing = c.ledger.Tick(now, c.queue.Startable(), c.share.targets, c.outgoing[:0])
 	c.sendSlotMessages()
 }
 
--- a/queue/edge_test.go
+++ b/queue/edge_test.go
@@ -167,13 +167,14 @@
 	q.SetZone(100, nil)
 	flow := Flow{"urgent", "d"}
 	q.Entitle(VMTargets{Slots: 40, Flows: []Target{{Flow: flow, Slots: 1}}, Limits: []LimitShare{{Limit: "half", Slots: 7}}})
-	is.Equal(q.Entitled(flow), 20.0)                      // half of the 40 slots by its share
-	is.Equal(q.Entitled(Flow{"urgent", "a"}), 7.0)        // the limit's share on this VM
-	is.Equal(q.Entitled(Flow{"urgent", "b"}), 1.0)        // the limit's quota
-	is.Equal(q.Entitled(Flow{"gone", "gone"}), minTarget) // served with the smallest share
-	is.Equal(q.QueuedAhead(Flow{"gone", "gone"}), 0)      // and not known to the queue
+	is.Equal(q.Entitled(flow, 1), 20.0)                      // half of the 40 slots by its share
+	is.Equal(q.Entitled(Flow{"urgent", "a"}, 10), 7.0)       // the limit's share on this VM
+	is.Equal(q.Entitled(Flow{"urgent", "a"}, 4), 12.5)       // an equal part of the quota is more
+	is.Equal(q.Entitled(Flow{"urgent", "b"}, 1), 1.0)        // the limit's quota
+	is.Equal(q.Entitled(Flow{"gone", "gone"}, 1), minTarget) // served with the smallest share
+	is.Equal(q.QueuedAhead(Flow{"gone", "gone"}), 0)         // and not known to the queue
 	q.SetTargets([]Target{{Flow: flow, Slots: 30}})
-	is.Equal(q.Entitled(flow), 30.0) // more than its share while others don't use theirs
+	is.Equal(q.Entitled(flow, 1), 30.0) // more than its share while others don't use theirs
 }
 
 // Guards against faults of an empty queue, of jobs without tasks and of calls that nothing corresponds to.
@@ -198,3 +199,22 @@
 		is.Equal(task, Task{Job: id(2), Flow: flow})
 	}
 }
+
+// Guards against slots that are borrowed from other VMs for tasks that a quota forbids to start.
+func TestStartableIsWhatNextHandsOut(t *testing.T) {
+	for _, slots := range []int{0, 1, 10, 40, 1000} {
+		is := is.New(t)
+		q := New(Config{Policy: Fair, Set: smallSet()})
+		q.SetZone(slots, []Demand{{Flow: Flow{"normal", "a"}, Running: 2}})
+		for i, team := range []string{"a", "b", "c", "d", "a"} {
+			flow := Flow{"normal", team}
+			is.NoErr(q.Push(epoch, Item{Job: id(i + 1), Flow: flow, Tasks: 9}))
+		}
+		startable, handed := q.Startable(), 0
+		for _, ok := q.Next(epoch); ok; _, ok = q.Next(epoch) {
+			handed++
+		}
+		is.Equal(startable, handed)
+		is.Equal(q.Startable(), 0)
+	}
+}
