--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,8 +12,13 @@
 // retryAfterNoEndpoint is the time to return given while no endpoint is live.
 const retryAfterNoEndpoint = 2 * time.Second
 
-// waitMargin is the part of the expected wait, one in so many, that an admitted job may have to wait longer.
-const waitMargin = 4
+// retryAfterLate is the time to return given with a job that was admitted and left the queue without a start.
+const retryAfterLate = 500 * time.Millisecond
+
+// waitMargin is the part of the expected wait that an admitted job may have to wait longer. A queue of half the time
+// that is left keeps the slots as busy as a longer one, and with a quarter 28 of 1,000 sends of a flood of short
+// deadlines were wasted on jobs that ended late.
+const waitMargin = 1.0
 
 // overtakenPerTask is the time in which later and smaller jobs may overtake a job, for each of its tasks; it is the
 // ageing of the queue.
@@ -37,6 +42,11 @@
 		return
 	}
 	kind := c.kinds[m.Kind]
+	if c.config.OfferJobs && kind.Idempotent && !m.Forwarded && !m.Offered && c.idle() < m.Tasks {
+		m.Offered = true
+		c.emit(Offer{Submit: m})
+		return
+	}
 	flow := queue.Flow{Priority: kind.Priority, Team: m.Team}
 	item := queue.Item{Job: m.Job, Flow: flow, Tasks: m.Tasks, Deadline: m.Deadline}
 	if err := c.queue.Push(now, item); err != nil {
@@ -75,22 +85,24 @@
 // admitInTime refuses a job for which the queue has no room, or that is expected to end after its deadline.
 func (c *Core) admitInTime(now time.Time, m Submit, flow queue.Flow) (refusal Finish, refused bool) {
 	load := c.load(m, flow)
+	if m.IfIdle && load.Idle < m.Tasks {
+		return Finish{Reason: fmt.Sprintf("%d slots are idle for %d tasks", load.Idle, m.Tasks), RetryAfter: load.Drain(m.Tasks)}, true
+	}
 	if reason, full := c.queue.Full(flow, m.Tasks); full {
 		return Finish{Reason: reason, RetryAfter: load.Drain(m.Tasks), Overflow: !m.Forwarded}, true
 	}
 	expected := load.Expect()
-	left := m.Deadline.Sub(now)
-	margin := expected.Wait / waitMargin
 	if expected.Wait > 0 {
-		margin += time.Duration(m.Tasks) * overtakenPerTask
+		expected.Response += time.Duration(waitMargin*float64(expected.Wait)) + time.Duration(m.Tasks)*overtakenPerTask
 	}
-	if expected.Response+margin <= left {
+	left := m.Deadline.Sub(now)
+	if expected.Response <= left {
 		return Finish{}, false
 	}
 	if load.RunTime > left {
 		c.estimates.Doubt(now, m.Kind, left)
 	}
-	reason := fmt.Sprintf("the expected response time of %v exceeds the %v left until the deadline",
+	reason := fmt.Sprintf("the expected response time of up to %v exceeds the %v left until the deadline",
 		expected.Response.Round(time.Millisecond), left.Round(time.Millisecond))
 	return Finish{Reason: reason, RetryAfter: expected.RetryAfter(left), Overflow: !m.Forwarded}, true
 }
@@ -103,7 +115,7 @@
 		RunTime:  runTime,
 		Ahead:    c.queue.QueuedAhead(flow),
 		MeanTime: runTime,
-		Slots:    c.entitled(flow, m.Tasks),
+		Slots:    c.queue.Entitled(flow, len(c.peers)+1),
 		Idle:     c.idle(),
 	}
 	if mean, ok := c.meanTimes[flow.Priority]; ok {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,6 +24,7 @@
 	Incarnation uint64 // of this entry VM
 	Service     string
 	Set         *contract.Set
+	OfferJobs   bool // offer idempotent jobs that would wait to other zones
 	SlotPolicy  slot.Policy
 	QueuePolicy queue.Policy
 }
@@ -35,9 +36,6 @@
 	service contract.Service
 	kinds   map[string]contract.Kind
 	teams   map[string]contract.Team
-	limits  map[string]contract.Limit
-
-	priorityShares map[string]int // percent by name
 
 	queue     *queue.Queue
 	ledger    *slot.Ledger
@@ -138,14 +136,6 @@
 	for _, team := range set.Teams {
 		c.teams[team.Name] = team
 	}
-	c.limits = make(map[string]contract.Limit)
-	for _, limit := range set.Limits {
-		c.limits[limit.Name] = limit
-	}
-	c.priorityShares = make(map[string]int)
-	for _, priority := range set.Priorities {
-		c.priorityShares[priority.Name] = priority.Share
-	}
 	c.queue.Configure(set)
 	c.estimates.Configure(slices.Collect(maps.Values(c.kinds)))
 }
@@ -165,7 +155,7 @@
 
 // requestSlots lets the ledger borrow, return, renew and recall loans.
 func (c *Core) requestSlots(now time.Time) {
-	c.outgoing = c.ledger.Tick(now, c.queue.Queued(), c.share.targets, c.outgoing[:0])
+	c.outgoing = c.ledger.Tick(now, c.queue.Startable(), c.share.targets, c.outgoing[:0])
 	c.sendSlotMessages()
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,7 +14,10 @@
 var ErrDuplicate = errors.New("job is already queued or running")
 
 // Flow is the unit between which slots are shared.
-type Flow struct{ Priority, Team string }
+type Flow struct {
+	Priority string `json:"priority"`
+	Team     string `json:"team"`
+}
 
 // Compare orders flows by priority name and then by team name.
 func (f Flow) Compare(other Flow) int {
@@ -41,9 +44,9 @@
 
 // Demand is the number of queued and running tasks of one flow.
 type Demand struct {
-	Flow    Flow
-	Queued  int
-	Running int
+	Flow
+	Queued  int `json:"queued"`
+	Running int `json:"running"`
 }
 
 // Target is the number of slots that one flow is entitled to on one VM.
@@ -134,7 +137,7 @@
 	return Task{Job: e.id, Flow: f.name, Index: index}, true
 }
 
-// Requeue takes back a task that Next handed out and that was not started; it takes the place of Done.
+// Requeue takes back a task that Next handed out and that is to be started again; it takes the place of Done.
 //
 // The task is the next of its flow, or is dropped when its job was removed in the meantime.
 func (q *Queue) Requeue(task Task) {
@@ -199,6 +202,28 @@
 // Queued returns the number of queued tasks of all flows.
 func (q *Queue) Queued() int { return q.queued }
 
+// Startable returns the number of queued tasks that quotas would let start if there were slots for them.
+func (q *Queue) Startable() int {
+	total := 0
+	for _, f := range q.active {
+		count := f.queued
+		for _, l := range f.limits {
+			count = min(count, l.room()-l.counted)
+		}
+		count = max(count, 0)
+		for _, l := range f.limits {
+			l.counted += count
+		}
+		total += count
+	}
+	for _, f := range q.active {
+		for _, l := range f.limits {
+			l.counted = 0
+		}
+	}
+	return total
+}
+
 // QueuedAhead returns the number of queued tasks that compete with a new job of the flow for the same slots.
 func (q *Queue) QueuedAhead(name Flow) int {
 	rank := q.rules.rank(name.Priority)
--- a/slot/ledger.go
+++ b/slot/ledger.go
@@ -66,14 +66,14 @@
 
 // Counts are the numbers of slots by state.
 type Counts struct {
-	Owned    int // slots of the endpoints that this VM owns
-	Lent     int
-	Borrowed int // loans held, in use or not
-	InUse    int // tasks in flight, on owned and borrowed slots
-	Idle     int // owned or borrowed slots that Take may give
-	Withheld int
-	Occupied int // owned slots that peers occupy outside of loans
-	Waiting  int // owned slots that are not yet usable after a change of owner or a freeze
+	Owned    int `json:"owned"` // slots of the endpoints that this VM owns
+	Lent     int `json:"lent"`
+	Borrowed int `json:"borrowed"` // loans held, in use or not
+	InUse    int `json:"in-use"`   // tasks in flight, on owned and borrowed slots
+	Idle     int `json:"idle"`     // owned or borrowed slots that Take may give
+	Withheld int `json:"withheld"`
+	Occupied int `json:"occupied"` // owned slots that peers occupy outside of loans
+	Waiting  int `json:"waiting"`  // owned slots that are not yet usable after a change of owner or a freeze
 }
 
 // Ledger keeps the slots of one service on one entry VM; it isn't safe for concurrent use.
@@ -106,7 +106,6 @@
 	withheld   int
 	yield      int // idle owned slots that Take leaves to peers below their target
 	claim      int // slots that this VM lacks of its target
-	idleLoans  int // idle loans of usable endpoints
 	askFrom    int // peer that is asked first
 	serveFrom  int // peer that is served first
 	draining   bool
@@ -275,7 +274,8 @@
 	return out
 }
 
-// Tick expires, renews, returns and recalls loans and asks for slots for wanted queued tasks; it is due every 10 ms.
+// Tick expires, renews, returns and recalls loans and asks for slots for wanted queued tasks that could start; it is due
+// every 10 ms.
 func (l *Ledger) Tick(now time.Time, wanted int, targets []Target, out []Outgoing) []Outgoing {
 	t := l.observe(now)
 	if l.config.Policy != Loans {
@@ -290,7 +290,7 @@
 	return l.renew(t, out)
 }
 
-// Request asks peers for slots as soon as tasks are queued and no slot is idle; Tick does the same.
+// Request asks peers for slots for wanted queued tasks if Take gives none; Tick does the same.
 func (l *Ledger) Request(now time.Time, wanted int, out []Outgoing) []Outgoing {
 	t := l.observe(now)
 	if l.config.Policy != Loans {
