Ask peers for slots when a job arrives and not only at the next tick

The design lets a VM ask as soon as tasks are queued and no held slot is free, at most every 2 ms per peer. The core asked only in its tick, so a task on a VM without a free slot waited for up to 10 ms while its peers had idle ones. It now asks after a Submit unless the zone is known to be full; the ledger keeps the bound per peer.

A job of 150 tasks on an idle zone has 128 slots after 0.4 ms, 10.4 ms before.

Ruled out: asking after every message while tasks are queued, which costs 548 messages per VM and second at 94% load with 9 VMs for the same wait.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -61,6 +61,8 @@
 		tasks:    m.Tasks,
 		attempts: make([]uint8, m.Tasks),
 	}
+	c.startTasks(now)
+	c.borrow(now)
 }
 
 // admit returns the refusal of a job that cannot run here in time.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -159,6 +159,16 @@
 	c.sendSlotMessages()
 }
 
+// borrow asks peers for slots at once if the zone may have idle ones: the next tick, which asks as well, is up to a
+// TickInterval away.
+func (c *Core) borrow(now time.Time) {
+	if c.queue.Queued() == 0 || c.zoneSlots <= c.share.busy+c.running {
+		return
+	}
+	c.outgoing = c.ledger.Request(now, c.queue.Startable(), c.outgoing[:0])
+	c.sendSlotMessages()
+}
+
 // setZone replaces the endpoints and the peers of the zone.
 func (c *Core) setZone(now time.Time, m ZoneChanged) {
 	c.members = m.Endpoints
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -161,7 +161,7 @@
 	z.end()
 }
 
-// Guards against a wide job that waits for loans although the zone is idle.
+// Guards against a wide job that waits for loans although the zone is idle, and for the next tick to ask for them.
 func TestWideJobGetsTheIdleZone(t *testing.T) {
 	is := is.New(t)
 	z := newTestZone(t, 1, 3, 16)
@@ -174,7 +174,7 @@
 	}
 	t.Logf("%d slots after %v", z.first, z.now.Sub(asked))
 	is.True(z.first >= 120)
-	is.True(z.now.Sub(asked) <= TickInterval+4*linkDelay+time.Millisecond) // two exchanges after the next tick
+	is.True(z.now.Sub(asked) <= 4*linkDelay) // two exchanges
 	z.end()
 	is.Equal(z.jobs[id].outcome, job.Complete)
 }
