--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -128,6 +128,22 @@
 	}
 }
 
+// Guards against starts on idle loans of an endpoint that has left; the next tick returns them.
+func TestLoansOfALeavingEndpointAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 2, 2)
+	z.submit(z.vms[1], "scan", "birch", 16, 5*time.Second)
+	z.run(70 * time.Millisecond) // the tasks have ended and the loans are idle
+	leaving := z.endpoints[0]    // of the other VM
+	before := leaving.starts
+	is.True(before > 0)
+	leaving.listed = false
+	z.inform(0)
+	z.submit(z.vms[1], "scan", "birch", 16, 5*time.Second)
+	z.end()
+	is.Equal(leaving.starts, before)
+}
+
 // Guards against slots that stay unused after the death of their owner.
 func TestSlotsOfAKilledVMAreUsedAgain(t *testing.T) {
 	is := is.New(t)
