Answer unknown when a task without an answer waits for its retry

A task of an idempotent kind that got no answer is queued again. When the deadline passed, the job was cancelled or another task failed before the retry had ended, no task was running and the job was answered as failed ("deadline passed after 0 of 1 tasks had run"), although the task may have run. The design answers unknown when a task may have started and no answer came. The core now keeps the tasks whose last attempt is unclear and turns failed into unknown while there are any; a retry that ends with an answer clears the task.

Found by a new check of the test zone: a failed job has no task whose last result is unknown.

Weighed: one flag for the job that is never cleared; it would answer unknown for jobs whose retries all had an answer.

--- a/dispatch/invariant_test.go
+++ b/dispatch/invariant_test.go
@@ -30,6 +30,7 @@
 	reached   int // ended, neither refused nor not sent
 	succeeded int
 	executed  int // by the endpoints
+	last      endpoint.Result
 }
 
 func (z *testZone) fail(format string, args ...any) {
@@ -83,6 +84,7 @@
 		task.succeeded++
 	case endpoint.Failed, endpoint.Rejected, endpoint.Unknown:
 	}
+	task.last = result
 	task.reached++
 	if task.reached > 1 {
 		z.retried(vm)
@@ -128,6 +130,8 @@
 			z.fail("job %v: complete, but task %d succeeded %d times", f.Job, i, task.succeeded)
 		case f.Outcome == job.NotRun && (task.open || task.reached > 0 || task.executed > 0):
 			z.fail("job %v: not-run, but task %d was started", f.Job, i)
+		case f.Outcome == job.Failed && task.reached > 0 && task.last == endpoint.Unknown:
+			z.fail("job %v: failed, but it is unknown whether task %d ran", f.Job, i)
 		case f.Outcome == job.Failed && task.open:
 			z.fail("job %v: failed, but task %d is running", f.Job, i)
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"samphireplank.example/samphireplank/contract"
@@ -20,6 +21,7 @@
 	running   int
 	started   int     // starts that may have reached an endpoint
 	attempts  []uint8 // starts of each task, without refused and unsent ones
+	unclear   []int   // tasks whose last attempt gave no answer and whose retry has not ended
 	failure   job.Outcome
 	reason    string
 	answered  bool
@@ -57,6 +59,10 @@
 		return
 	}
 	j.answered = true
+	if outcome == job.Failed && len(j.unclear) > 0 {
+		outcome = job.Unknown
+		reason += fmt.Sprintf("; task %d may have run before", j.unclear[0])
+	}
 	effect := Finish{Job: id, Outcome: outcome, Reason: reason}
 	if outcome == job.NotRun {
 		effect.RetryAfter = retryAfterLate
@@ -215,6 +221,9 @@
 	j.running--
 	c.settleSlot(now, m)
 	c.recordHealth(now, m)
+	if m.Result != endpoint.Refused && m.Result != endpoint.NotSent {
+		j.unclear = slices.DeleteFunc(j.unclear, func(task int) bool { return task == m.Task })
+	}
 	switch m.Result {
 	case endpoint.Succeeded:
 		c.queue.Done(j.flow)
@@ -251,6 +260,9 @@
 	allowed := j.kind.Idempotent && int(j.attempts[m.Task]) < j.kind.Attempts && now.Before(j.deadline) &&
 		!j.answered && j.failure == job.Pending
 	if allowed && c.retries.Take(now) {
+		if outcome == job.Unknown {
+			j.unclear = append(j.unclear, m.Task)
+		}
 		c.requeue(j, m)
 		return
 	}
--- a/dispatch/naive_test.go
+++ b/dispatch/naive_test.go
@@ -16,6 +16,7 @@
 	results []endpoint.Result
 	runTime time.Duration
 	made    int
+	unclear bool // the last attempt that reached an endpoint gave no answer
 	ends    time.Duration
 }
 
@@ -46,6 +47,7 @@
 		again := result == endpoint.Refused || result == endpoint.NotSent
 		if !again {
 			next.made++
+			next.unclear = result == endpoint.Unknown
 			again = (result == endpoint.Failed || result == endpoint.Unknown) && idempotent && next.made < attempts
 		}
 		if again && outcome == job.Complete {
@@ -53,7 +55,7 @@
 			continue
 		}
 		switch {
-		case result == endpoint.Unknown:
+		case next.unclear:
 			outcome = job.Unknown
 		case (result == endpoint.Failed || result == endpoint.Rejected) && outcome == job.Complete:
 			outcome = job.Failed
