Name the tasks and events of violations in the reports

Cause: a run with a deliberately broken build reported "4 cases" of a second start without saying of which tasks and during which faults. Change: the load report lists the first 20 Task-Ids or job ids with a violated guarantee; the chaos report adds what the entry VMs logged about these jobs and the events in progress at that time.

--- a/chaos/verdict.go
+++ b/chaos/verdict.go
@@ -90,6 +90,7 @@
 		return err
 	}
 	r.writeViolations(&b, cfg)
+	r.writeSuspects(&b, cfg, report.Suspects)
 	if _, err := io.WriteString(cfg.Out, b.String()); err != nil {
 		return err
 	}
@@ -109,6 +110,21 @@
 	for _, s := range r.spans {
 		fmt.Fprintf(b, "  %s to %s %s\n", s.from.Format(clock), s.to.Format(clock), s.event)
 	}
+}
+
+// writeSuspects prints for each id with a violated guarantee what the entry VMs logged about its job and which events
+// were in progress then.
+func (r *record) writeSuspects(b *strings.Builder, cfg Config, ids []string) {
+	for _, id := range ids {
+		fmt.Fprintf(b, "violated for %s:\n", id)
+		job, _, _ := strings.Cut(id, "/")
+		for _, line := range logged(cfg.Logs, job) {
+			fmt.Fprintf(b, "  %s\n", line.text)
+			for _, e := range overlapping(r.spans, line.at, line.at.Add(time.Second), func(Event) bool { return true }) {
+				fmt.Fprintf(b, "    during %s\n", e)
+			}
+		}
+	}
 	fmt.Fprintf(b, "logs are in %s\n", cfg.Logs)
 }
 
--- a/load/record.go
+++ b/load/record.go
@@ -35,6 +35,7 @@
 	breaks        []Break
 	breakCount    int
 	failovers     int
+	suspects      []string // ids of jobs with a wrong answer
 }
 
 // groupKey names the jobs that are measured together.
@@ -137,6 +138,9 @@
 	if got.id != "" {
 		r.jobs[got.id] = jobRecord{outcome: got.outcome, tasks: len(a.runTimes), idempotent: a.mix.Idempotent, cancelled: kind == cancelled}
 	}
+	if got.partial || got.crossed || got.contradictory {
+		r.suspects = append(r.suspects, got.id)
+	}
 	if got.partial {
 		r.partial++
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -29,6 +29,7 @@
 	Breaks    []Break           `json:"breaks,omitempty"`       // the first 10,000 calls that were sent and not answered
 	Broken    int               `json:"broken-calls,omitempty"` // all of them
 	Failovers int               `json:"failovers,omitempty"`    // calls that could not be sent and went to another entry VM
+	Suspects  []string          `json:"suspects,omitempty"`     // the first Task-Ids and job ids with a violated guarantee
 }
 
 // Break is a call to an entry VM that was sent and got no answer; what became of its job is unknown to the caller.
@@ -113,7 +114,7 @@
 		Profile: r.profile.Name, Seed: r.profile.Seed, Seconds: elapsed.Seconds(), Slots: r.profile.Slots,
 		TaskRate: r.profile.taskRate(), ToolLagMS: quantiles(rec.lateness, 1000), Examples: rec.examples,
 		Checks: Checks{Partial: rec.partial, Crossed: rec.crossed, Contradictory: rec.contradictory},
-		Breaks: rec.breaks, Broken: rec.breakCount, Failovers: rec.failovers,
+		Breaks: rec.breaks, Broken: rec.breakCount, Failovers: rec.failovers, Suspects: rec.suspects,
 	}
 	if rec.cancels > 0 {
 		report.Cancels = &Cancels{Sent: rec.cancels, Errors: rec.cancelErrors, AnswerMS: quantiles(rec.sinceCancel, 1000)}
@@ -166,7 +167,7 @@
 		if line.starts > 0 {
 			startedTasks[jobID]++
 		}
-		report.judgeTask(w, line, told, known)
+		report.judgeTask(w, id, line, told, known)
 		if told.outcome == "complete" && line.starts > 0 {
 			w.Useful++
 			usefulBusy += line.busy / time.Duration(line.starts)
@@ -177,11 +178,16 @@
 			report.Checks.CompleteUnstarted += told.tasks - startedTasks[id]
 		}
 	}
+	sort.Strings(report.Suspects)
+	report.Suspects = report.Suspects[:min(len(report.Suspects), maxSuspects)]
 	w.finish(offered, elapsed, busy, usefulBusy)
 	report.Work = w
 }
 
-func (report *Report) judgeTask(w *Work, line taskLine, told jobRecord, known bool) {
+// maxSuspects bounds the ids that a report lists.
+const maxSuspects = 20
+
+func (report *Report) judgeTask(w *Work, id string, line taskLine, told jobRecord, known bool) {
 	if line.starts == 0 {
 		return
 	}
@@ -190,11 +196,15 @@
 		w.Unattributed += line.starts
 	case told.outcome == "not-run":
 		report.Checks.NotRunStarted++
+		report.Suspects = append(report.Suspects, id)
 	}
 	if told.idempotent {
 		w.Retries += line.starts - 1
 	} else {
 		report.Checks.StartsExtra += line.starts - 1
+		if line.starts > 1 {
+			report.Suspects = append(report.Suspects, id)
+		}
 	}
 	if told.cancelled && told.outcome != "complete" {
 		w.WastedCancelled += line.starts
