--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,17 +72,18 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for entry VMs: %w", err), callerSocket.Close())
 	}
+	counters := newMetricSet()
 	e := &Entry{
-		config:       config,
+		config:       counters.meterPlatform(config),
 		incarnation:  newIncarnation(time.Now()),
 		registry:     newRegistry(),
 		acceptor:     &publication.Acceptor{},
 		shards:       make(map[string]*shard),
 		callerSocket: callerSocket,
-		linkSocket:   linkSocket,
+		linkSocket:   meteredListener{linkSocket, counters},
 		endpoints:    endpoint.NewClient(endpoint.ClientConfig{ConnectionWait: 0}),
-		links:        link.NewClient(link.ClientConfig{}),
-		metrics:      newMetricSet(),
+		links:        link.NewClient(link.ClientConfig{Dial: counters.dialLink}),
+		metrics:      counters,
 	}
 	e.self = e.selfVM()
 	e.table = zone.NewTable(zone.Config{
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -18,6 +18,14 @@
 	forwardsRefused *metrics.Counter
 	exchanges       *metrics.Counter
 	exchangesFailed *metrics.Counter
+	probes          *metrics.Counter
+	linkSent        *metrics.Counter // bytes, without TCP and IP
+	linkReceived    *metrics.Counter
+
+	platformReads         *metrics.Counter
+	platformWatches       *metrics.Counter
+	platformLists         *metrics.Counter
+	platformRegistrations *metrics.Counter
 }
 
 func newMetricSet() *metricSet {
@@ -28,6 +36,14 @@
 		forwardsRefused: set.NewCounter("samphireplank_forwards_refused_total"),
 		exchanges:       set.NewCounter("samphireplank_exchanges_total"),
 		exchangesFailed: set.NewCounter("samphireplank_exchanges_failed_total"),
+		probes:          set.NewCounter("samphireplank_probes_total"),
+		linkSent:        set.NewCounter(`samphireplank_link_bytes_total{direction="sent"}`),
+		linkReceived:    set.NewCounter(`samphireplank_link_bytes_total{direction="received"}`),
+
+		platformReads:         set.NewCounter(`samphireplank_platform_calls_total{call="read"}`),
+		platformWatches:       set.NewCounter(`samphireplank_platform_calls_total{call="watch"}`),
+		platformLists:         set.NewCounter(`samphireplank_platform_calls_total{call="list"}`),
+		platformRegistrations: set.NewCounter(`samphireplank_platform_calls_total{call="registration"}`),
 	}
 }
 
--- a/entry/send.go
+++ b/entry/send.go
@@ -69,6 +69,7 @@
 func (e *Entry) probe(s *shard, probe dispatch.Probe) {
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
+	e.metrics.probes.Inc()
 	healthy := e.endpoints.Probe(ctx, probe.Address, probe.Path)
 	e.update(s, dispatch.ProbeFinished{Endpoint: probe.Endpoint, Healthy: healthy})
 }
