Send a heartbeat only to peers that got no report

Cause: the ticker of heartbeats and the reports of the core, both every 250 ms, ran beside each other. A heartbeat was sent unless a batch had left in the last 125 ms, so depending on their phase up to one heartbeat went out per report: 6.2 exchanges per second and peer where 4 are meant.

Weighed: no heartbeats at all, which would declare peers lost while no service is configured. Chosen: a timer that each batch sets back, a little longer than the period of idle reports.

--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -10,8 +10,9 @@
 	"samphireplank.example/samphireplank/platform"
 )
 
-// heartbeatPeriod is the longest time between two batches to an entry VM of the zone.
-const heartbeatPeriod = 250 * time.Millisecond
+// heartbeatPeriod is the longest time between two batches to an entry VM of the zone. It exceeds the period of idle
+// reports by several ticks, so that a heartbeat is sent only where no report is.
+const heartbeatPeriod = 300 * time.Millisecond
 
 // introductions is the number of batches to a peer that carry this VM's own entry, so that a peer that does not
 // know it from the platform's list learns it.
@@ -33,7 +34,6 @@
 	mu       sync.Mutex
 	services map[string]*linkpb.ServiceBatch
 	sent     int
-	lastSent time.Time
 }
 
 func newOutboxes(e *Entry) outboxes {
@@ -101,11 +101,10 @@
 }
 
 // take returns the messages that have been added.
-func (b *outbox) take(now time.Time) []*linkpb.ServiceBatch {
+func (b *outbox) take() []*linkpb.ServiceBatch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent++
-	b.lastSent = now
 	services := make([]*linkpb.ServiceBatch, 0, len(b.services))
 	for _, batch := range b.services {
 		services = append(services, batch)
@@ -116,7 +115,7 @@
 
 // sendBatches exchanges batches with one peer, one at a time, until ctx ends.
 func (e *Entry) sendBatches(ctx context.Context, box *outbox) {
-	heartbeat := time.NewTicker(heartbeatPeriod)
+	heartbeat := time.NewTimer(heartbeatPeriod)
 	defer heartbeat.Stop()
 	for {
 		select {
@@ -124,17 +123,15 @@
 			return
 		case <-box.wake:
 		case <-heartbeat.C:
-			if time.Since(box.lastSent) < heartbeatPeriod/2 {
-				continue
-			}
 		}
+		heartbeat.Reset(heartbeatPeriod)
 		e.exchange(ctx, box)
 	}
 }
 
 // exchange sends one batch and handles the reply.
 func (e *Entry) exchange(ctx context.Context, box *outbox) {
-	services := box.take(time.Now())
+	services := box.take()
 	batch := e.newBatch(box.peer.ID, services, carriesReport(services), box.sent <= introductions)
 	reply, err := e.links.Exchange(ctx, box.peer.LinkAddress, batch)
 	if err != nil {
