Test that a drained VM finishes its queue and gives up its slots

A planned stop must cut off nothing: one of three VMs drains with 1,000 tasks queued, all jobs complete, no job is left and its ledger is drained 4 s later.

--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -223,3 +223,26 @@
 	is.True(longest <= 100)
 	z.end()
 }
+
+// Guards against a planned stop that loses queued jobs or keeps slots.
+func TestDrainFinishesTheQueue(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	for range 10 {
+		for _, vm := range z.vms {
+			z.submit(vm, "scan", "birch", 100, 30*time.Second)
+		}
+	}
+	z.run(200 * time.Millisecond)
+	stopping := z.vms[1]
+	stopping.draining = true
+	z.inform(0)
+	z.deliver(stopping, Drain{})
+	z.run(4 * time.Second) // 3,000 tasks of 50 ms on 128 slots take 1.2 s
+	is.Equal(stopping.core.Jobs(), 0)
+	is.True(stopping.core.ledger.Drained())
+	z.end()
+	for _, j := range z.jobs {
+		is.Equal(j.outcome, job.Complete)
+	}
+}
