Show that unclear tasks and the drain are tested without chance

A single case of a task that got no answer and whose retry is refused, ended by the deadline and by a cancellation, and a bound of two ticks for the drain now fail without the mechanism.

--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -157,6 +157,24 @@
 	}
 }
 
+// Guards against the answer failed while a task without an answer waits for its retry.
+func TestJobWithAnUnclearTaskIsUnknown(t *testing.T) {
+	for _, cancel := range []bool{false, true} {
+		is := is.New(t)
+		z := newTestZone(t, 1, 1, 1)
+		z.answering(always(endpoint.Unknown, 10*time.Millisecond))
+		id := z.submit(z.vms[0], "quote", "birch", 1, 500*time.Millisecond)
+		z.run(5 * time.Millisecond)
+		z.answering(always(endpoint.Refused, 0)) // the retry
+		z.run(95 * time.Millisecond)
+		if cancel {
+			z.deliver(z.vms[0], Cancel{Job: id})
+		}
+		z.end()
+		is.Equal(z.jobs[id].outcome, job.Unknown)
+	}
+}
+
 // Guards against a second start of tasks whose id is submitted again while the job is running, queued or answered with
 // tasks in flight.
 func TestDuplicateSubmissionStartsNothing(t *testing.T) {
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -238,9 +238,12 @@
 	stopping.draining = true
 	z.inform(0)
 	z.deliver(stopping, Drain{})
-	z.run(4 * time.Second) // 3,000 tasks of 50 ms on 128 slots take 1.2 s
+	for stopping.core.Jobs() > 0 && z.now.Sub(start) < 10*time.Second { // 3,000 tasks of 50 ms on 128 slots take 1.2 s
+		z.run(time.Millisecond)
+	}
 	is.Equal(stopping.core.Jobs(), 0)
-	is.True(stopping.core.ledger.Drained())
+	z.run(2 * TickInterval)
+	is.True(stopping.core.ledger.Drained()) // without the wait of 50 ms for idle loans
 	z.end()
 	for _, j := range z.jobs {
 		is.Equal(j.outcome, job.Complete)
