Let messages to a peer that can wait go along with others

Cause: at 6,000 starts/s over 3 entry VMs and 96 endpoints an entry VM sent 111 exchanges/s, most of them with a single message. A trial build that counted messages by kind showed, of about 155/s, 47 returns of loans, 19 wants, 19 demand reports, 14 renewals and 12 ends of wants; no task waits for any of these but wants. Link traffic was above the budget of 11 KB/s.

Wants, loans, recalls and handovers are still sent at once and take along what is held back; the order to a peer stays.

Change: the outbox holds reports, renewals, returns and ends of wants for at most 20 ms, and sends no empty batch for a message that has left with an earlier one.

--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -8,12 +8,17 @@
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
 	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/slot"
 )
 
 // heartbeatPeriod is the longest time between two batches to an entry VM of the zone. It exceeds the period of idle
 // reports by several ticks, so that a heartbeat is sent only where no report is.
 const heartbeatPeriod = 300 * time.Millisecond
 
+// collectPeriod is the longest time for which a message that can wait is held back, so that other messages to the same
+// peer go along with it. Without it nearly every message costs an exchange of its own, most of them returns of loans.
+const collectPeriod = 20 * time.Millisecond
+
 // introductions is the number of batches to a peer that carry this VM's own entry, so that a peer that does not
 // know it from the platform's list learns it.
 const introductions = 3
@@ -28,7 +33,8 @@
 // outbox collects messages for a peer while an exchange with it is in progress.
 type outbox struct {
 	peer   platform.VM
-	wake   chan struct{} // has room for one signal
+	wake   chan struct{} // a message can't wait; has room for one signal
+	later  chan struct{} // a message can wait; has room for one signal
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
@@ -66,7 +72,7 @@
 		earlier.cancel()
 	}
 	ctx, cancel := context.WithCancel(o.entry.ctx)
-	box := &outbox{peer: peer, wake: make(chan struct{}, 1), cancel: cancel, services: make(map[string]*linkpb.ServiceBatch)}
+	box := newOutbox(peer, cancel)
 	o.boxes[peer.ID] = box
 	o.entry.group.Go(func() error {
 		o.entry.sendBatches(ctx, box)
@@ -74,6 +80,13 @@
 	})
 }
 
+func newOutbox(peer platform.VM, cancel context.CancelFunc) *outbox {
+	return &outbox{
+		peer: peer, wake: make(chan struct{}, 1), later: make(chan struct{}, 1), cancel: cancel,
+		services: make(map[string]*linkpb.ServiceBatch),
+	}
+}
+
 // add queues a message for a peer.
 func (o *outboxes) add(peer, service string, body dispatch.PeerBody) {
 	o.mu.Lock()
@@ -94,12 +107,69 @@
 	}
 	appendBody(batch, body, index)
 	b.mu.Unlock()
+	signal := b.wake
+	if canWait(body) {
+		signal = b.later
+	}
 	select {
-	case b.wake <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
 
+// canWait reports whether a message may arrive collectPeriod later: no task waits for reports, renewals, the return of
+// loans or the end of a want.
+func canWait(body dispatch.PeerBody) bool {
+	switch body := body.(type) {
+	case dispatch.DemandReport, dispatch.EjectionReport:
+		return true
+	case dispatch.SlotMessage:
+		switch m := body.Message.(type) {
+		case slot.Renew, slot.Return:
+			return true
+		case slot.Want:
+			return m.Count == 0
+		}
+	}
+	return false
+}
+
+// wait returns when a batch is due, or false when ctx has ended.
+func (b *outbox) wait(ctx context.Context, heartbeat <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-heartbeat:
+			return true
+		case <-b.wake:
+		case <-b.later:
+			b.collect(ctx)
+		}
+		// A signal may be left of messages that went along with an earlier batch.
+		if !b.empty() {
+			return true
+		}
+	}
+}
+
+// collect waits for a message that can't wait, at most for collectPeriod.
+func (b *outbox) collect(ctx context.Context) {
+	timer := time.NewTimer(collectPeriod)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-b.wake:
+	case <-timer.C:
+	}
+}
+
+func (b *outbox) empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.services) == 0
+}
+
 // take returns the messages that have been added.
 func (b *outbox) take() []*linkpb.ServiceBatch {
 	b.mu.Lock()
@@ -117,13 +187,7 @@
 func (e *Entry) sendBatches(ctx context.Context, box *outbox) {
 	heartbeat := time.NewTimer(heartbeatPeriod)
 	defer heartbeat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-box.wake:
-		case <-heartbeat.C:
-		}
+	for box.wait(ctx, heartbeat.C) {
 		heartbeat.Reset(heartbeatPeriod)
 		e.exchange(ctx, box)
 	}
--- /dev/null
+++ b/entry/outbox_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/slot"
+)
+
+func add(box *outbox, body dispatch.PeerBody) { box.add("cue", body, noFlows) }
+
+// Guards against an exchange for each message that can wait, and against a task that waits for such messages.
+func TestMessagesThatCanWaitGoAlong(t *testing.T) {
+	is := is.New(t)
+	box := newOutbox(platform.VM{}, func() {})
+	add(box, dispatch.SlotMessage{Message: slot.Return{Epoch: 1}})
+	began := time.Now()
+	is.True(box.wait(context.Background(), nil))
+	is.True(time.Since(began) >= collectPeriod) // held back for others
+
+	add(box, dispatch.SlotMessage{Message: slot.Renew{Epoch: 1}})
+	add(box, dispatch.SlotMessage{Message: slot.Want{Count: 3}})
+	is.True(box.wait(context.Background(), nil))
+	services := box.take()
+	is.Equal(len(services), 1)
+	is.Equal(len(services[0].Slots), 3)            // in the order in which they were added
+	is.True(services[0].Slots[2].GetWant() != nil) // after what was held back
+	is.Equal(services[0].Slots[2].GetWant().Count, uint32(3))
+}
+
+// Guards against an exchange for messages that have left with an earlier batch.
+func TestSignalOfASentMessageCausesNoBatch(t *testing.T) {
+	is := is.New(t)
+	box := newOutbox(platform.VM{}, func() {})
+	add(box, dispatch.SlotMessage{Message: slot.Want{Count: 3}})
+	box.take()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*collectPeriod)
+	defer cancel()
+	is.True(!box.wait(ctx, nil))
+}
+
+// Guards against messages for which a task waits among those that are held back.
+func TestUrgentMessagesDoNotWait(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []slot.PeerMessage{
+		slot.Want{Count: 1},
+		slot.Lend{},
+		slot.Recall{},
+		slot.Renewed{},
+		slot.Holdings{},
+		slot.Handover{},
+		slot.Resume{},
+		slot.Resumed{},
+	} {
+		is.True(!canWait(dispatch.SlotMessage{Message: m}))
+	}
+	for _, m := range []slot.PeerMessage{slot.Want{}, slot.Renew{}, slot.Return{}} {
+		is.True(canWait(dispatch.SlotMessage{Message: m}))
+	}
+	is.True(canWait(dispatch.DemandReport{}))
+}
