--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -117,7 +117,7 @@
 		RunTime:  runTime,
 		Ahead:    c.queue.QueuedAhead(flow),
 		MeanTime: runTime,
-		Slots:    c.queue.Entitled(flow, len(c.peers)+1),
+		Slots:    c.expectedSlots(flow, m.Tasks),
 		Idle:     c.idle(),
 	}
 	if mean, ok := c.meanTimes[flow.Priority]; ok {
@@ -126,6 +126,18 @@
 	return load
 }
 
+// expectedSlots returns the slots that a job may count on: the entitlement of its flow, or the part of the zone that
+// follows its own demand. The entitlement alone is too low on a VM that had little demand at the last allocation; it
+// holds for teams with a limit, whose quota bounds both.
+func (c *Core) expectedSlots(flow queue.Flow, tasks int) float64 {
+	slots := c.queue.Entitled(flow, len(c.peers)+1)
+	if c.teams[flow.Team].Limit != "" {
+		return slots
+	}
+	demand := c.share.busy + c.running + c.queue.Queued() + tasks
+	return max(slots, float64(c.zoneSlots*tasks)/float64(demand))
+}
+
 // observeAdmitted moves the mean run time of a priority by the tasks of an admitted job.
 func (c *Core) observeAdmitted(kind contract.Kind, tasks int) {
 	runTime := c.estimates.RunTime(kind.Name).Seconds()
