Chaos: end promptly on an interrupt

Cause: an interrupted run waited up to 45 s for a planned stop in progress and kept its ports. Change: waits for the end of a process and for readiness end with the run.

--- a/chaos/cluster.go
+++ b/chaos/cluster.go
@@ -248,13 +248,13 @@
 }
 
 // stop shuts all entry VMs down gracefully at once and returns what went wrong with them.
-func (c *cluster) stop() []error {
+func (c *cluster) stop(ctx context.Context) []error {
 	var problems []error
 	for _, vm := range c.entries {
 		vm.current().signal(syscall.SIGTERM)
 	}
 	for _, vm := range c.entries {
-		if err := vm.current().wait(stopTimeout); err != nil {
+		if err := vm.current().wait(ctx, stopTimeout); err != nil {
 			problems = append(problems, err)
 		}
 	}
--- a/chaos/inject.go
+++ b/chaos/inject.go
@@ -110,21 +110,23 @@
 	if e.Kind == Kill {
 		vm.current().kill()
 	} else {
-		i.stop(vm, e)
+		i.stop(ctx, vm, e)
+	}
+	if !sleep(ctx, e.For) {
+		return nil
 	}
-	sleep(ctx, e.For)
 	if err := i.cluster.startEntry(vm); err != nil {
 		return err
 	}
 	// A VM that starts while the platform is down and its peers are away gets its configuration later.
-	return i.cluster.awaitReady(context.WithoutCancel(ctx), vm)
+	return i.cluster.awaitReady(ctx, vm)
 }
 
 // stop shuts an entry VM down gracefully and records when it doesn't end with exit code 0.
-func (i *injector) stop(vm *entryVM, e Event) {
+func (i *injector) stop(ctx context.Context, vm *entryVM, e Event) {
 	p := vm.current()
 	p.signal(syscall.SIGTERM)
-	if err := p.wait(stopTimeout); err != nil {
+	if err := p.wait(ctx, stopTimeout); err != nil {
 		i.record.violation("planned stop with exit code 0", fmt.Sprintf("%s: %v", e, err))
 		p.kill()
 	}
--- a/chaos/process.go
+++ b/chaos/process.go
@@ -1,6 +1,7 @@
 package chaos
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -51,7 +52,7 @@
 }
 
 // wait returns the error of the process, or another one if it does not end in time.
-func (p *process) wait(timeout time.Duration) error {
+func (p *process) wait(ctx context.Context, timeout time.Duration) error {
 	select {
 	case <-p.ended:
 		if err := p.group.Wait(); err != nil {
@@ -60,6 +61,8 @@
 		return nil
 	case <-time.After(timeout):
 		return fmt.Errorf("%s did not end in %v", p.name, timeout)
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the end of %s: %w", p.name, ctx.Err())
 	}
 }
 
--- a/chaos/run.go
+++ b/chaos/run.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	for _, problem := range c.stop() {
+	for _, problem := range c.stop(ctx) {
 		r.violation("planned stop with exit code 0", problem.Error())
 	}
 	judgeLoad(report, r, c)
