Answer unknown instead of not-run after an offer that broke

Cause: an idempotent job that is offered to another zone runs here when the forward broke after bytes were sent. A refusal here then said not-run although the other zone may have started it. Change: such a record is marked like one whose home could not be asked. No test of its own yet; the turn from not-run to unknown is tested by TestRefusalWithoutHomeIsUnknown. go test -race ./entry passes.

--- a/entry/registry.go
+++ b/entry/registry.go
@@ -42,7 +42,7 @@
 	done       chan struct{} // closed when answer is set
 	cancelled  atomic.Bool
 	delegate   atomic.Pointer[platform.VM] // the entry VM that runs it, while it is forwarded
-	orphan     atomic.Bool                 // runs here since its home could not be asked, which may have run it before
+	orphan     atomic.Bool                 // another VM may have run it and gave no answer
 
 	mu      sync.Mutex
 	results []job.Result
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -265,6 +265,7 @@
 		e.metrics.forwardsRefused.Inc()
 		return answer, false
 	case answer.Outcome == job.Unknown && !rec.cancelled.Load():
+		rec.orphan.Store(true) // the other zone may have started it, so a refusal here must not say not-run
 		return answer, false
 	}
 	e.table.Accepted(other.Zone)
@@ -275,7 +276,7 @@
 // complete gives a submission its answer and wakes its callers.
 func (e *Entry) complete(rec *record, answer job.Answer) {
 	if answer.Outcome == job.NotRun && rec.orphan.Load() {
-		reason := fmt.Sprintf("not run here (%s), but the entry VM %q that issued the id could not be asked", answer.Reason, answer.ID.VM)
+		reason := fmt.Sprintf("not run here (%s), but another entry VM may have run it and gave no answer", answer.Reason)
 		answer = job.Answer{ID: answer.ID, Outcome: job.Unknown, Reason: reason}
 	}
 	if !rec.finish(answer) {
