--- a/load/caller.go
+++ b/load/caller.go
@@ -30,6 +30,13 @@
 	if a.cancel || a.resubmit || r.profile.waved(a.mix.Class) || r.balance.needsTicket(a) {
 		id = r.ticket(a.target)
 	}
+	for range r.clients {
+		if id != "" || !r.balance.needsTicket(a) {
+			break
+		}
+		a.target = r.balance.route((a.target + 1) % len(r.clients))
+		id = r.ticket(a.target)
+	}
 	var got result
 	kind := plain
 	switch {
