Estimate large jobs by the part of the zone that they will get

Cause: at 40% load 3 of 139 jobs of the bulk class were refused or dropped from the queue at once. On a VM without demand the flow's present entitlement is about one slot, and a job of 150 tasks seemed to need 150 run times; teams with a limit and the check before a job's first start did not have the correction of the admission yet. Change: both use expectedSlots, which for teams with a limit is bounded by their quota. Test: TestLargeJobOnAVMWithoutDemand, not-run before and complete after.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -127,15 +127,20 @@
 }
 
 // expectedSlots returns the slots that a job may count on: the entitlement of its flow, or the part of the zone that
-// follows its own demand. The entitlement alone is too low on a VM that had little demand at the last allocation; it
-// holds for teams with a limit, whose quota bounds both.
+// follows its own demand. The entitlement alone is too low on a VM that had little demand at the last allocation.
 func (c *Core) expectedSlots(flow queue.Flow, tasks int) float64 {
-	slots := c.queue.Entitled(flow, len(c.peers)+1)
-	if c.teams[flow.Team].Limit != "" {
-		return slots
-	}
 	demand := c.share.busy + c.running + c.queue.Queued() + tasks
-	return max(slots, float64(c.zoneSlots*tasks)/float64(demand))
+	part := float64(c.zoneSlots*tasks) / float64(max(demand, 1))
+	return max(c.queue.Entitled(flow, len(c.peers)+1), min(part, c.quotaSlots(flow.Team)))
+}
+
+// quotaSlots returns the slots of the zone that the limits of a team leave it at most.
+func (c *Core) quotaSlots(team string) float64 {
+	percent := 100
+	for name := c.teams[team].Limit; name != ""; name = c.limits[name].Parent {
+		percent = min(percent, c.limits[name].Quota)
+	}
+	return float64(c.zoneSlots*percent) / 100
 }
 
 // observeAdmitted moves the mean run time of a priority by the tasks of an admitted job.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -36,6 +36,7 @@
 	service contract.Service
 	kinds   map[string]contract.Kind
 	teams   map[string]contract.Team
+	limits  map[string]contract.Limit
 
 	queue     *queue.Queue
 	ledger    *slot.Ledger
@@ -136,6 +137,10 @@
 	for _, team := range set.Teams {
 		c.teams[team.Name] = team
 	}
+	c.limits = make(map[string]contract.Limit)
+	for _, limit := range set.Limits {
+		c.limits[limit.Name] = limit
+	}
 	c.queue.Configure(set)
 	c.estimates.Configure(slices.Collect(maps.Values(c.kinds)))
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -172,7 +172,7 @@
 	if j.started > 0 || j.running > 0 {
 		return runTime
 	}
-	slots := max(c.queue.Entitled(j.flow, len(c.peers)+1), float64(c.idle()), 1)
+	slots := max(c.expectedSlots(j.flow, j.tasks), float64(c.idle()), 1)
 	return time.Duration(float64(runTime) * max(float64(j.tasks)/slots, 1))
 }
 
--- a/dispatch/job_test.go
+++ b/dispatch/job_test.go
@@ -285,3 +285,18 @@
 		})
 	}
 }
+
+// Guards against a large job that is refused, or dropped from the queue, on a VM that had no demand before: the VM's
+// present entitlement is then one slot, and the job would seem to need 150 run times.
+func TestLargeJobOnAVMWithoutDemand(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(t, 1, 3, 16)
+	for range 60 {
+		z.submit(z.vms[0], "scan", "birch", 1, 20*time.Second)
+	}
+	z.run(200 * time.Millisecond)
+	id := z.submit(z.vms[2], "scan", "birch", 150, 2*time.Second)
+	z.run(2 * time.Second)
+	is.Equal(z.jobs[id].outcome, job.Complete)
+	z.end()
+}
