Forget the refusal of a forwarded job

The home offered the job to entry-6, which refused it (0 slots idle) and remembered not-run under the id; the home ran it, and the caller's resubmission at entry-6 got the remembered refusal. Change: a refusal on behalf of a home is forgotten. A resubmission that arrives while the refusal is being formed can still get it.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -178,7 +178,12 @@
 	if err != nil {
 		return answerMessage(job.Answer{ID: s.ID, Outcome: job.Unknown, Reason: err.Error()}), nil
 	}
-	return answerMessage(awaitRecord(ctx, rec, time.Until(s.Deadline)+answerGrace)), nil
+	answer := awaitRecord(ctx, rec, time.Until(s.Deadline)+answerGrace)
+	if r.OnBehalf && answer.Outcome == job.NotRun {
+		// The home may run it itself; a caller that asks here must get the home's answer.
+		e.registry.forget(rec)
+	}
+	return answerMessage(answer), nil
 }
 
 // acceptForwarded starts a forwarded submission unless its id was used before.
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -199,6 +199,16 @@
 	return true
 }
 
+// forget drops a record, so that its id is unknown here.
+func (r *registry) forget(rec *record) {
+	s := r.shard(rec.submission.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.records[rec.submission.ID] == rec {
+		delete(s.records, rec.submission.ID)
+	}
+}
+
 // redeem adds a submission under a ticket. It returns the earlier record with errDuplicate when the
 // ticket was used before, and errUnknownJob when the ticket was never handed out or has expired.
 func (r *registry) redeem(now time.Time, rec *record) (*record, error) {
