Keep jobs that run on behalf of their home apart from those of callers

Ruled out: a mark on the record, which every reader would have to heed. Change: such jobs have a registry of their own, which only the execution and the home's cancel look at; a caller that asks here always gets the home's answer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,11 +35,12 @@
 	sequence    atomic.Uint64
 	self        platform.VM
 
-	registry *registry
-	table    *zone.Table
-	acceptor *publication.Acceptor
-	force    atomic.Pointer[force]
-	metrics  *metricSet
+	registry  *registry // submissions of callers
+	delegated *registry // jobs that run on behalf of their home; callers that ask for them get the home's answer
+	table     *zone.Table
+	acceptor  *publication.Acceptor
+	force     atomic.Pointer[force]
+	metrics   *metricSet
 
 	configure sync.Mutex // serializes changes of configuration and membership
 	shardsMu  sync.RWMutex
@@ -77,6 +78,7 @@
 		config:       counters.meterPlatform(config),
 		incarnation:  newIncarnation(time.Now()),
 		registry:     newRegistry(),
+		delegated:    newRegistry(),
 		acceptor:     &publication.Acceptor{},
 		shards:       make(map[string]*shard),
 		callerSocket: callerSocket,
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -130,6 +130,7 @@
 func (e *Entry) housekeepingLoop() {
 	for e.sleep(housekeepingPeriod) {
 		e.registry.expire(time.Now())
+		e.delegated.expire(time.Now())
 		e.endpoints.CloseIdle()
 	}
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -179,9 +179,8 @@
 		return answerMessage(job.Answer{ID: s.ID, Outcome: job.Unknown, Reason: err.Error()}), nil
 	}
 	answer := awaitRecord(ctx, rec, time.Until(s.Deadline)+answerGrace)
-	if r.OnBehalf && answer.Outcome == job.NotRun {
-		// The home may run it itself; a caller that asks here must get the home's answer.
-		e.registry.forget(rec)
+	if r.OnBehalf {
+		e.delegated.forget(rec)
 	}
 	return answerMessage(answer), nil
 }
@@ -190,7 +189,7 @@
 func (e *Entry) acceptForwarded(s job.Submission, kind contract.Kind, r *linkpb.ForwardRequest) (*record, error) {
 	rec := newRecord(s, kind)
 	if r.OnBehalf {
-		if !e.registry.acceptForeign(rec) {
+		if !e.delegated.acceptForeign(rec) {
 			return nil, errDuplicate
 		}
 		e.dispatch(rec, dispatch.Submit{Forwarded: true, IfIdle: r.IfIdle})
@@ -225,13 +224,13 @@
 	return answerMessage(awaitRecord(ctx, rec, wait)), nil
 }
 
-// Cancel of the link shares its name with the callers' Cancel; peerHandler tells them apart.
+// Cancel withdraws a submission that has its home here, or runs here on behalf of its home.
 func (h peerHandler) Cancel(_ context.Context, r *linkpb.CancelRequest) (*linkpb.Answer, error) {
 	id, err := job.ParseID(r.Id)
 	if err != nil {
 		return nil, err
 	}
-	rec, ok := h.registry.find(id)
+	rec, ok := h.active(id)
 	if !ok {
 		return answerMessage(job.Answer{ID: id, Outcome: job.Unknown, Reason: errUnknownJob.Error()}), nil
 	}
@@ -239,5 +238,5 @@
 	return answerMessage(rec.current()), nil
 }
 
-// peerHandler is the Entry as other entry VMs see it.
+// peerHandler is the Entry as other entry VMs see it, whose Cancel differs from that of callers.
 type peerHandler struct{ *Entry }
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -39,6 +39,7 @@
 	kind       contract.Kind
 	tasks      int
 	accepted   time.Time
+	registry   *registry     // that holds it
 	done       chan struct{} // closed when answer is set
 	cancelled  atomic.Bool
 	delegate   atomic.Pointer[platform.VM] // the entry VM that runs it, while it is forwarded
@@ -181,6 +182,12 @@
 	s := r.shard(rec.submission.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.add(s, rec)
+}
+
+// add stores a record; the caller holds the lock of the shard.
+func (r *registry) add(s *registryShard, rec *record) {
+	rec.registry = r
 	s.records[rec.submission.ID] = rec
 	r.pending.Add(1)
 }
@@ -194,8 +201,7 @@
 	if earlier, ok := s.records[rec.submission.ID]; ok && earlier.current().Outcome != job.Unknown {
 		return false
 	}
-	s.records[rec.submission.ID] = rec
-	r.pending.Add(1)
+	r.add(s, rec)
 	return true
 }
 
@@ -223,8 +229,7 @@
 		return nil, errUnknownJob
 	}
 	delete(s.tickets, rec.submission.ID)
-	s.records[rec.submission.ID] = rec
-	r.pending.Add(1)
+	r.add(s, rec)
 	return rec, nil
 }
 
--- a/entry/send.go
+++ b/entry/send.go
@@ -21,7 +21,7 @@
 		Slot:     start.Slot,
 		Result:   endpoint.NotSent,
 	}
-	rec, ok := e.registry.find(start.Job)
+	rec, ok := e.active(start.Job)
 	if !ok || start.Timeout <= 0 {
 		e.update(s, finished)
 		return
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -63,7 +63,7 @@
 }
 
 func (e *Entry) unanswered() int {
-	count := int(e.registry.pending.Load()) // forwarded jobs are in no core
+	count := int(e.registry.pending.Load() + e.delegated.pending.Load()) // forwarded jobs are in no core
 	for _, s := range e.allShards() {
 		s.mu.Lock()
 		count += s.core.Jobs()
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -195,9 +195,17 @@
 // answerGrace is the time beyond a job's deadline in which its answer may still arrive from another entry VM.
 const answerGrace = time.Second
 
+// active returns the record of a job that runs or may run here.
+func (e *Entry) active(id job.ID) (*record, bool) {
+	if rec, ok := e.delegated.find(id); ok {
+		return rec, true
+	}
+	return e.registry.find(id)
+}
+
 // finish answers a submission, or offers it to another zone when this one has no slots for it.
 func (e *Entry) finish(s *shard, effect dispatch.Finish) {
-	rec, ok := e.registry.find(effect.Job)
+	rec, ok := e.active(effect.Job)
 	if !ok {
 		return
 	}
@@ -235,7 +243,7 @@
 // offerJob lets another zone run an idempotent job that would wait here, and otherwise runs it here. A job whose forward
 // broke is run here too: a kind that is not idempotent is never offered.
 func (e *Entry) offerJob(s *shard, m dispatch.Submit) {
-	rec, ok := e.registry.find(m.Job)
+	rec, ok := e.active(m.Job)
 	if !ok {
 		return
 	}
@@ -283,7 +291,7 @@
 		return
 	}
 	now := time.Now()
-	e.registry.answered(now, rec)
+	rec.registry.answered(now, rec)
 	e.metrics.jobEnded(rec, answer.Outcome, now)
 	if answer.Outcome != job.Complete {
 		e.config.Log.Debug().Str("event", "job-not-complete").Str("job", answer.ID.String()).
