Compare the tables of two zones by their entry VMs only

Cause: a report carries a hash of the whole table, and the receiver exchanges tables when the hash differs for 2 s. The tables of two zones never agree, because each holds the endpoints of its own zone only. Every entry VM therefore fetched whole tables from entry VMs of each other zone every 5 s, for nothing. It shows from the second zone on and grows with the endpoints of a zone.

Weighed: no comparison between zones; then a report of an entry VM that is lost between zones would be made up for by the platform's list only. Chosen: reports to other zones carry a hash of the entry VMs, which both tables hold.

--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -226,7 +226,7 @@
 	}
 	now := time.Now()
 	r := &linkpb.Report{
-		TableHash: e.table.Hash(),
+		TableHash: e.table.HashFor(peer),
 		Changes:   vmMessages(e.table.Recent(now, peer)),
 		Silent:    e.table.Silent(now),
 		Leaving:   e.stopping.Load(),
--- a/zone/table.go
+++ b/zone/table.go
@@ -58,14 +58,15 @@
 
 // Table is the membership as one entry VM sees it.
 type Table struct {
-	mu      sync.Mutex
-	config  Config
-	records []*record // sorted by id
-	byID    map[string]*record
-	hash    uint64
-	changes uint64        // number of the last change
-	entries []platform.VM // live entry VMs of the own zone, sorted by id
-	version uint64        // highest version of the platform's list
+	mu        sync.Mutex
+	config    Config
+	records   []*record // sorted by id
+	byID      map[string]*record
+	hash      uint64
+	entryHash uint64        // of the entry VMs alone
+	changes   uint64        // number of the last change
+	entries   []platform.VM // live entry VMs of the own zone, sorted by id
+	version   uint64        // highest version of the platform's list
 
 	summaries []summary // sorted by service, zone and VM
 	backoffs  []backoff // sorted by zone
@@ -317,12 +318,15 @@
 // refresh recomputes what is derived from the records.
 func (t *Table) refresh() {
 	t.entries = nil
-	t.hash = 0
+	t.hash, t.entryHash = 0, 0
 	for _, r := range t.records {
 		if r.vm.State == platform.StateGone {
 			continue
 		}
 		t.hash ^= r.digest()
+		if r.vm.Role == platform.RoleEntry {
+			t.entryHash ^= r.digest()
+		}
 		self := r.vm.ID == t.config.VM
 		if (self || t.isPeer(r) && !r.lost) && r.vm.State == platform.StateLive {
 			t.entries = append(t.entries, r.vm)
--- a/zone/table_test.go
+++ b/zone/table_test.go
@@ -285,3 +285,23 @@
 		}
 	})
 }
+
+// Guards against an exchange of whole tables every 5 s between zones, whose tables never hold the same endpoints.
+func TestOtherZonesCompareEntryVMsOnly(t *testing.T) {
+	is := is.New(t)
+	here, there := entry("a", 0, 1, live), entry("b", 0, 1, live)
+	a := NewTable(Config{VM: here.ID, Zone: "a", Incarnation: 1, Address: here.Address})
+	b := NewTable(Config{VM: there.ID, Zone: "b", Incarnation: 1, Address: there.Address})
+	list := []platform.VM{here, there, entry("b", 1, 1, live), executor(1, 1, live)}
+	a.MergeList(start, platform.List{Version: 1, VMs: list})
+	b.MergeList(start, platform.List{Version: 1, VMs: list})
+	is.True(a.Hash() != b.Hash()) // only a holds the endpoint
+	is.Equal(a.HashFor(there.ID), b.HashFor(here.ID))
+	is.True(!b.Diverged(start, here.ID, a.HashFor(there.ID)))
+	is.True(!b.Diverged(at(3*time.Second), here.ID, a.HashFor(there.ID)))
+
+	a.Merge(at(3*time.Second), []platform.VM{entry("b", 1, 1, leaving)})
+	is.True(!b.Diverged(at(4*time.Second), here.ID, a.HashFor(there.ID)))
+	is.True(b.Diverged(at(7*time.Second), here.ID, a.HashFor(there.ID))) // an entry VM that b has not heard of
+	is.Equal(a.HashFor("a-entry-1"), a.Hash())                           // unknown, so of this zone
+}
--- a/zone/view.go
+++ b/zone/view.go
@@ -101,6 +101,21 @@
 	return t.hash
 }
 
+// HashFor returns the hash for a report to a peer; for a peer of another zone it covers entry VMs only, because its table
+// holds other endpoints and would always differ.
+func (t *Table) HashFor(peer string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hashFor(t.byID[peer])
+}
+
+func (t *Table) hashFor(r *record) uint64 {
+	if r != nil && r.vm.Zone != t.config.Zone {
+		return t.entryHash
+	}
+	return t.hash
+}
+
 // Diverged records the hash of a peer and reports whether the whole table should be exchanged with it.
 func (t *Table) Diverged(now time.Time, from string, hash uint64) bool {
 	t.mu.Lock()
@@ -109,7 +124,7 @@
 	if r == nil {
 		return true
 	}
-	if hash == t.hash {
+	if hash == t.hashFor(r) {
 		r.differs = time.Time{}
 		return false
 	}
