Let a second record of a job follow the first one

A job can have two records on one VM, one of a caller that resubmitted it and one on behalf of its home; the core runs it once, and the answer was given to the one that was found first, also when it belonged to the other. Ruled out: a leak in the core, whose table is checked to be empty by the property test. Change: a map holds the record that the core works for, and another record of the job gets the same answer. A complete answer that lacks a result is answered unknown, whatever the cause. Tests: TestSecondRecordOfAJobFollowsTheFirst, TestMissingResultIsNoCompleteAnswer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 
 	registry  *registry // submissions of callers
 	delegated *registry // jobs that run on behalf of their home; callers that ask for them get the home's answer
+	running   sync.Map  // job.ID to the *record that the core of its service works for
 	table     *zone.Table
 	acceptor  *publication.Acceptor
 	force     atomic.Pointer[force]
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -231,6 +231,9 @@
 		return nil, err
 	}
 	rec, ok := h.active(id)
+	if !ok {
+		rec, ok = h.registry.find(id)
+	}
 	if !ok {
 		return answerMessage(job.Answer{ID: id, Outcome: job.Unknown, Reason: errUnknownJob.Error()}), nil
 	}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,7 +94,7 @@
 		return false
 	}
 	if answer.Outcome == job.Complete && answer.Results == nil {
-		answer.Results = r.results
+		answer = r.withResults(answer)
 	}
 	r.results = nil
 	r.submission.Bodies = nil
@@ -102,6 +103,18 @@
 	return true
 }
 
+// withResults adds the results to a complete answer; the caller holds mu. A missing result would make the answer partial.
+func (r *record) withResults(answer job.Answer) job.Answer {
+	for task, result := range r.results {
+		if result.Status == 0 {
+			reason := fmt.Sprintf("the result of task %d is missing", task)
+			return job.Answer{ID: answer.ID, Outcome: job.Unknown, Reason: reason}
+		}
+	}
+	answer.Results = r.results
+	return answer
+}
+
 // body returns the body of a task, or nil after the answer.
 func (r *record) body(task int) []byte {
 	r.mu.Lock()
--- /dev/null
+++ b/entry/registry_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/contract"
+	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/job"
+)
+
+// Guards against a second record of a job that takes the answer of the first one, so that one of both is never answered
+// and a graceful shutdown waits for it until its timeout.
+func TestSecondRecordOfAJobFollowsTheFirst(t *testing.T) {
+	is := is.New(t)
+	e := &Entry{registry: newRegistry(), delegated: newRegistry(), metrics: newMetricSet(), shards: map[string]*shard{}}
+	e.group, e.ctx = errgroup.WithContext(context.Background())
+	set := &contract.Set{Services: []contract.Service{{Name: "cue"}}}
+	e.shards["cue"] = newShard("cue", dispatch.New(dispatch.Config{VM: "entry-1", Service: "cue", Set: set}))
+	kind := contract.Kind{Name: "line", Service: "cue"}
+	submission := job.Submission{ID: job.ID{Zone: "a", VM: "entry-2", Sequence: 1}, Bodies: [][]byte{nil}}
+	first, second := newRecord(submission, kind), newRecord(submission, kind)
+	is.True(e.registry.acceptForeign(first))
+	is.True(e.delegated.acceptForeign(second))
+	e.running.Store(submission.ID, first) // the core works for the first record
+	e.dispatch(second, dispatch.Submit{})
+	is.Equal(second.current().Outcome, job.Pending)
+	first.setResult(0, job.Result{Status: 200})
+	e.complete(first, job.Answer{ID: submission.ID, Outcome: job.Complete})
+	is.NoErr(e.group.Wait())
+	is.Equal(second.current().Outcome, job.Complete)
+	is.Equal(len(second.current().Results), 1)
+	is.Equal(e.unanswered(), 0)
+}
+
+// Guards against a complete answer that lacks a result.
+func TestMissingResultIsNoCompleteAnswer(t *testing.T) {
+	is := is.New(t)
+	rec := newRecord(job.Submission{Bodies: [][]byte{nil, nil}}, contract.Kind{})
+	rec.setResult(1, job.Result{Status: 200})
+	is.True(rec.finish(job.Answer{Outcome: job.Complete}))
+	is.Equal(rec.current().Outcome, job.Unknown)
+	is.Equal(len(rec.current().Results), 0)
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -123,6 +123,13 @@
 		})
 		return
 	}
+	if running, loaded := e.running.LoadOrStore(rec.submission.ID, rec); loaded {
+		e.group.Go(func() error {
+			e.follow(rec, running.(*record))
+			return nil
+		})
+		return
+	}
 	m.Job = rec.submission.ID
 	m.Kind = rec.submission.Kind
 	m.Team = rec.submission.Team
@@ -195,12 +202,22 @@
 // answerGrace is the time beyond a job's deadline in which its answer may still arrive from another entry VM.
 const answerGrace = time.Second
 
-// active returns the record of a job that runs or may run here.
+// active returns the record that the core of its service works for.
 func (e *Entry) active(id job.ID) (*record, bool) {
-	if rec, ok := e.delegated.find(id); ok {
-		return rec, true
+	rec, ok := e.running.Load(id)
+	if !ok {
+		return nil, false
+	}
+	return rec.(*record), true
+}
+
+// follow gives a record the answer of the record of the same job that runs here already.
+func (e *Entry) follow(rec, running *record) {
+	select {
+	case <-running.done:
+		e.complete(rec, running.current())
+	case <-e.ctx.Done():
 	}
-	return e.registry.find(id)
 }
 
 // finish answers a submission, or offers it to another zone when this one has no slots for it.
@@ -290,6 +307,7 @@
 	if !rec.finish(answer) {
 		return
 	}
+	e.running.CompareAndDelete(rec.submission.ID, rec)
 	now := time.Now()
 	rec.registry.answered(now, rec)
 	e.metrics.jobEnded(rec, answer.Outcome, now)
