--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 	"github.com/valyala/fasthttp"
 
 	"samphireplank.example/samphireplank/job"
@@ -73,12 +74,12 @@
 func stop(t testing.TB, server *Server, address string) chan error {
 	t.Helper()
 	result := make(chan error, 1)
-	done := make(chan struct{})
-	t.Cleanup(func() { <-done })
-	go func() {
-		defer close(done)
+	var group errgroup.Group
+	t.Cleanup(func() { _ = group.Wait() }) // the functions of the group return no error
+	group.Go(func() error {
 		result <- server.Shutdown(context.Background())
-	}()
+		return nil
+	})
 	for {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
