--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/job"
 )
