--- a/cmd/samphireplank/command.go
+++ b/cmd/samphireplank/command.go
@@ -47,7 +47,7 @@
 		{"publish", "Check object files and bring them into force", publishHelp, &publishCommand{}},
 		{"history", "List the publications", historyHelp, &historyCommand{}},
 		{"restore", "Publish the set of an earlier generation again", restoreHelp, &restoreCommand{}},
-		{"status", "Show the generation in force on every entry VM", statusHelp, &statusCommand{}},
+		{"status", "Show entry VMs, endpoints and demand by class", statusHelp, &statusCommand{}},
 		{"entry", "Run an entry VM", entryHelp, &entryCommand{}},
 		{"demo", "Run everything in one process and show a report", demoHelp, &demoCommand{}},
 		{"load", "Generate load and report", loadHelp, &loadCommand{}},
