Drop the connections to an entry VM that is gone

Change: closing an outbox ends its sender and drops the connections to its peer, also when a peer has restarted.

--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -60,8 +60,7 @@
 	}
 	for id, box := range o.boxes {
 		if !wanted[id] {
-			box.cancel()
-			delete(o.boxes, id)
+			o.close(box)
 		}
 	}
 }
@@ -69,7 +68,7 @@
 // open starts the sender for a peer in place of an earlier incarnation's.
 func (o *outboxes) open(peer platform.VM) {
 	if earlier, ok := o.boxes[peer.ID]; ok {
-		earlier.cancel()
+		o.close(earlier)
 	}
 	ctx, cancel := context.WithCancel(o.entry.ctx)
 	box := newOutbox(peer, cancel)
@@ -87,6 +86,13 @@
 	}
 }
 
+// close ends the sender for a peer and drops the connections to it.
+func (o *outboxes) close(box *outbox) {
+	box.cancel()
+	o.entry.links.Forget(box.peer.LinkAddress)
+	delete(o.boxes, box.peer.ID)
+}
+
 // add queues a message for a peer.
 func (o *outboxes) add(peer, service string, body dispatch.PeerBody) {
 	o.mu.Lock()
--- a/entry/outbox_test.go
+++ b/entry/outbox_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/dispatch"
+	"samphireplank.example/samphireplank/link"
 	"samphireplank.example/samphireplank/platform"
 	"samphireplank.example/samphireplank/slot"
 )
@@ -64,3 +66,17 @@
 	}
 	is.True(canWait(dispatch.DemandReport{}))
 }
+
+// Guards against senders and connections that stay behind for each VM that is replaced.
+func TestOutboxOfAGonePeerIsClosed(t *testing.T) {
+	is := is.New(t)
+	e := &Entry{links: link.NewClient(link.ClientConfig{}), ctx: context.Background(), group: &errgroup.Group{}}
+	o := newOutboxes(e)
+	o.set([]platform.VM{{ID: "entry-2", Incarnation: 1, LinkAddress: "127.0.0.1:1"}})
+	o.set([]platform.VM{{ID: "entry-2", Incarnation: 2, LinkAddress: "127.0.0.1:2"}})
+	is.Equal(len(o.boxes), 1)
+	is.Equal(o.boxes["entry-2"].peer.Incarnation, uint64(2))
+	o.set(nil)
+	is.Equal(len(o.boxes), 0)
+	is.NoErr(e.group.Wait()) // every sender has ended
+}
