--- a/cmd/samphireplank-standin/endpoint.go
+++ b/cmd/samphireplank-standin/endpoint.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
 )
 
@@ -62,7 +62,7 @@
 	}
 	var registrar standin.Registrar
 	if len(c.Platform) > 0 {
-		registrar = platform.NewClient(platform.ClientConfig{Addresses: c.Platform})
+		registrar = store.NewClient(store.ClientConfig{Addresses: c.Platform})
 	}
 	endpoints := make([]standin.EndpointConfig, 0, c.Count)
 	for i := range c.Count {
--- a/cmd/samphireplank/connect.go
+++ b/cmd/samphireplank/connect.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // platformClient is what commands use of the platform.
 type platformClient interface {
-	platform.Store
-	platform.Directory
+	store.Store
+	store.Directory
 }
 
 // connector returns a client of the platform; tests replace it.
@@ -31,5 +31,5 @@
 
 // connect doesn't let long polls wait: commands read the present state only.
 func connect(addresses []string, timeout time.Duration) (platformClient, error) {
-	return platform.NewClient(platform.ClientConfig{Addresses: addresses, Timeout: timeout, Wait: time.Millisecond}), nil
+	return store.NewClient(store.ClientConfig{Addresses: addresses, Timeout: timeout, Wait: time.Millisecond}), nil
 }
--- a/cmd/samphireplank/demo.go
+++ b/cmd/samphireplank/demo.go
@@ -14,7 +14,7 @@
 	"samphireplank.example/samphireplank/entry"
 	"samphireplank.example/samphireplank/examples"
 	"samphireplank.example/samphireplank/load"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 	"samphireplank.example/samphireplank/standin"
 )
@@ -136,8 +136,8 @@
 	return nil
 }
 
-func (d *demo) client(zone string) *platform.Client {
-	return platform.NewClient(platform.ClientConfig{Addresses: []string{d.platform.Address()}, Zone: zone})
+func (d *demo) client(zone string) *store.Client {
+	return store.NewClient(store.ClientConfig{Addresses: []string{d.platform.Address()}, Zone: zone})
 }
 
 func (d *demo) startEntries(ctx context.Context) error {
--- a/cmd/samphireplank/entry.go
+++ b/cmd/samphireplank/entry.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphireplank.example/samphireplank/entry"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
 )
@@ -45,7 +45,7 @@
 	if c.PlatformTimeout <= 0 {
 		return &settingsError{fmt.Errorf("--platform-timeout is %v, it must be above 0", c.PlatformTimeout)}
 	}
-	client := platform.NewClient(platform.ClientConfig{
+	client := store.NewClient(store.ClientConfig{
 		Addresses: c.Platform, Zone: c.Zone, Timeout: c.PlatformTimeout, Wait: platformWatchWait,
 	})
 	defer client.Close()
@@ -60,7 +60,7 @@
 	return vm.Run(ctx)
 }
 
-func (c *entryCommand) config(e *environment, client *platform.Client) entry.Config {
+func (c *entryCommand) config(e *environment, client *store.Client) entry.Config {
 	config := entry.Config{
 		VM:          c.VM,
 		Zone:        c.Zone,
--- a/cmd/samphireplank/force.go
+++ b/cmd/samphireplank/force.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/entry"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
@@ -65,7 +65,7 @@
 }
 
 // waitInForce asks the live entry VMs until all of them have the generation or a higher one, or the time is over.
-func waitInForce(ctx context.Context, directory platform.Directory, generation uint64, wait time.Duration) (in, notIn []vmStatus, err error) {
+func waitInForce(ctx context.Context, directory store.Directory, generation uint64, wait time.Duration) (in, notIn []vmStatus, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	failure := &notInForceError{generation: generation}
@@ -105,26 +105,26 @@
 
 // entryVMs returns the live entry VMs of the platform's list, ordered by zone and id. VMs that are leaving are left
 // out: they may stop at any moment, and nobody waits for them.
-func entryVMs(ctx context.Context, directory platform.Directory) ([]platform.VM, error) {
+func entryVMs(ctx context.Context, directory store.Directory) ([]store.VM, error) {
 	list, err := directory.VMs(ctx, 0)
 	// An interrupted call returns an empty list without an error, which must not be taken for a fleet without VMs.
 	if err = cmp.Or(err, ctx.Err()); err != nil {
 		return nil, fmt.Errorf("read the list of VMs: %w", err)
 	}
-	var vms []platform.VM
+	var vms []store.VM
 	for _, vm := range list.VMs {
-		if vm.Role == platform.RoleEntry && vm.State == platform.StateLive {
+		if vm.Role == store.RoleEntry && vm.State == store.StateLive {
 			vms = append(vms, vm)
 		}
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int {
+	slices.SortFunc(vms, func(a, b store.VM) int {
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
 	})
 	return vms, nil
 }
 
 // askAll asks all VMs at the same time.
-func askAll(ctx context.Context, vms []platform.VM) []vmStatus {
+func askAll(ctx context.Context, vms []store.VM) []vmStatus {
 	statuses := make([]vmStatus, len(vms))
 	var group errgroup.Group
 	group.SetLimit(maxAsking)
@@ -138,7 +138,7 @@
 	return statuses
 }
 
-func ask(ctx context.Context, vm platform.VM) vmStatus {
+func ask(ctx context.Context, vm store.VM) vmStatus {
 	status := vmStatus{ID: vm.ID, Zone: vm.Zone, Address: vm.Address}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/cmd/samphireplank/load.go
+++ b/cmd/samphireplank/load.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphireplank.example/samphireplank/load"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // loadCommand holds the flags of the load tool.
@@ -77,7 +77,7 @@
 	if len(c.Entries) > 0 || len(c.Platform) == 0 {
 		return c.Entries, nil
 	}
-	list, err := platform.NewClient(platform.ClientConfig{Addresses: c.Platform}).VMs(ctx, 0)
+	list, err := store.NewClient(store.ClientConfig{Addresses: c.Platform}).VMs(ctx, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +89,7 @@
 	})
 	var entries []string
 	for _, vm := range list.VMs {
-		if vm.Role == platform.RoleEntry && vm.State == platform.StateLive {
+		if vm.Role == store.RoleEntry && vm.State == store.StateLive {
 			entries = append(entries, vm.Address)
 		}
 	}
--- a/cmd/samphireplank/operator_test.go
+++ b/cmd/samphireplank/operator_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 	"samphireplank.example/samphireplank/standin"
 )
@@ -36,19 +36,19 @@
 }
 
 // add lists an entry VM; a stuck one has nothing in force.
-func (f *fleet) add(id string, state platform.State, stuck bool) {
+func (f *fleet) add(id string, state store.State, stuck bool) {
 	f.t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var generation uint64
-		if head, _, err := publication.ReadHead(r.Context(), f.platform.Memory()); err == nil && !stuck {
+		if head, _, err := publication.ReadHead(r.Context(), f.store.Memory()); err == nil && !stuck {
 			generation = head.Generation
 		}
 		fmt.Fprintf(w, `{"generation":%d}`, generation)
 	}))
 	f.t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
-	vm := platform.VM{ID: id, Zone: "tartu-a", Role: platform.RoleEntry, Address: address, Incarnation: 1, State: state}
-	if err := f.platform.Memory().Register(f.t.Context(), vm); err != nil {
+	vm := store.VM{ID: id, Zone: "tartu-a", Role: store.RoleEntry, Address: address, Incarnation: 1, State: state}
+	if err := f.store.Memory().Register(f.t.Context(), vm); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -78,9 +78,9 @@
 // Guards against commands that don't fit together over the platform's real protocol.
 func TestOperatorPath(t *testing.T) {
 	f := newFleet(t)
-	f.add("entry-1", platform.StateLive, false)
-	f.add("entry-2", platform.StateLive, false)
-	f.add("entry-3", platform.StateLeaving, true)
+	f.add("entry-1", store.StateLive, false)
+	f.add("entry-2", store.StateLive, false)
+	f.add("entry-3", store.StateLeaving, true)
 	first, second := variant(t, "", ""), variant(t, "slots: 8", "slots: 16")
 	by := func(author string, args ...string) []string {
 		return append([]string{"publish", "--author", author, "--reason", "try it"}, args...)
@@ -120,10 +120,10 @@
 func TestPublishNamesVMsBehind(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	f.add("entry-1", platform.StateLive, false)
-	f.add("entry-2", platform.StateLive, true)
-	gone := platform.VM{ID: "entry-3", Zone: "tartu-b", Role: platform.RoleEntry, Address: "127.0.0.1:1", Incarnation: 1, State: platform.StateLive}
-	is.NoErr(f.platform.Memory().Register(t.Context(), gone))
+	f.add("entry-1", store.StateLive, false)
+	f.add("entry-2", store.StateLive, true)
+	gone := store.VM{ID: "entry-3", Zone: "tartu-b", Role: store.RoleEntry, Address: "127.0.0.1:1", Incarnation: 1, State: store.StateLive}
+	is.NoErr(f.store.Memory().Register(t.Context(), gone))
 	args := []string{"publish", "--author", "mari", "--reason", "first", "--wait", "500ms", variant(t, "", "")}
 	code, output := f.run(args...)
 	is.Equal(code, exitNotInForce)
@@ -144,17 +144,17 @@
 	f.platform.SetFaults(standin.PlatformFaults{Down: true})
 	code, _ := f.run("publish", "--author", "mari", "--reason", "first", "--platform-timeout", "200ms", variant(t, "", ""))
 	is.Equal(code, exitFailed)
-	unlisted := unlistedFleet{platform.NewMemory()}
+	unlisted := unlistedFleet{store.NewMemory()}
 	_, notIn, err := waitInForce(t.Context(), unlisted, 1, 1)
 	is.Equal(len(notIn), 0)
 	is.Equal(exitCode(err), exitNotInForce)
 }
 
 // unlistedFleet has a list of VMs that can't be read.
-type unlistedFleet struct{ *platform.Memory }
+type unlistedFleet struct{ *store.Memory }
 
-func (unlistedFleet) VMs(context.Context, uint64) (platform.List, error) {
-	return platform.List{}, errors.New("no answer")
+func (unlistedFleet) VMs(context.Context, uint64) (store.List, error) {
+	return store.List{}, errors.New("no answer")
 }
 
 // Guards against publications that are lost, doubled or reported as failed when the platform's answers get lost on the
@@ -171,7 +171,7 @@
 			t.Fatalf("publication %d: exit code %d: %s", n, code, output)
 		}
 	}
-	records, err := publication.New(publication.Config{Store: f.platform.Memory()}).History(t.Context())
+	records, err := publication.New(publication.Config{Store: f.store.Memory()}).History(t.Context())
 	is.NoErr(err)
 	is.Equal(len(records), publications)
 	is.True(f.platform.Counts().LostAnswers > publications)
--- a/cmd/samphireplank/plan.go
+++ b/cmd/samphireplank/plan.go
@@ -6,7 +6,7 @@
 	"io"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 )
 
@@ -47,12 +47,12 @@
 }
 
 // readPublished returns the head and its set; both are empty before the first publication.
-func readPublished(ctx context.Context, store platform.Store) (publication.Head, *contract.Set, error) {
+func readPublished(ctx context.Context, kv store.Store) (publication.Head, *contract.Set, error) {
 	head, _, err := publication.ReadHead(ctx, store)
 	if err != nil || head.Generation == 0 {
 		return head, &contract.Set{}, err
 	}
-	set, err := publication.Fetch(ctx, store, nil, head.Record)
+	set, err := publication.Fetch(ctx, kv, nil, head.Record)
 	return head, set, err
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -8,7 +8,7 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 )
 
@@ -59,7 +59,7 @@
 	l.core = New(Config{VM: "entry-0", Incarnation: 1, Service: "sorting", Set: set})
 	var endpoints []Endpoint
 	for i := range benchEndpoints {
-		vm := platform.VM{ID: fmt.Sprintf("executor-%03d", i), Incarnation: 1}
+		vm := store.VM{ID: fmt.Sprintf("executor-%03d", i), Incarnation: 1}
 		endpoints = append(endpoints, Endpoint{VM: vm, Owner: "entry-0"})
 	}
 	l.update(ZoneChanged{Endpoints: endpoints, Peers: []string{"entry-1", "entry-2"}})
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -6,7 +6,7 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Message is an event that Core reacts to.
@@ -42,7 +42,7 @@
 
 // Endpoint is an endpoint of the own zone with the entry VM that owns its slots.
 type Endpoint struct {
-	platform.VM
+	store.VM
 	Owner string
 }
 
--- a/dispatch/zone_test.go
+++ b/dispatch/zone_test.go
@@ -11,7 +11,7 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 )
 
@@ -178,7 +178,7 @@
 	var listed []Endpoint
 	for i, e := range z.endpoints {
 		if e.listed {
-			listed = append(listed, Endpoint{VM: platform.VM{ID: e.ID, Incarnation: 1}, Owner: owners[i%len(owners)]})
+			listed = append(listed, Endpoint{VM: store.VM{ID: e.ID, Incarnation: 1}, Owner: owners[i%len(owners)]})
 		}
 	}
 	for _, vm := range z.vms {
--- a/entry/await.go
+++ b/entry/await.go
@@ -10,7 +10,7 @@
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Await returns the answer of a submission, or a Pending one after the wait.
@@ -89,17 +89,17 @@
 }
 
 // home returns the entry VM that minted the id, or the answer when it is gone.
-func (e *Entry) home(id job.ID) (platform.VM, job.Answer) {
+func (e *Entry) home(id job.ID) (store.VM, job.Answer) {
 	vm, ok := e.table.Get(id.VM)
-	if !ok || vm.Incarnation != id.Incarnation || vm.State == platform.StateGone {
+	if !ok || vm.Incarnation != id.Incarnation || vm.State == store.StateGone {
 		reason := fmt.Sprintf("the entry VM %q that issued the id is gone", id.VM)
-		return platform.VM{}, job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}
+		return store.VM{}, job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}
 	}
 	return vm, job.Answer{}
 }
 
 // homeAnswer returns the answer that the home of an id gave, or Unknown.
-func homeAnswer(id job.ID, home platform.VM, reply *linkpb.Answer, err error) job.Answer {
+func homeAnswer(id job.ID, home store.VM, reply *linkpb.Answer, err error) job.Answer {
 	if err == nil {
 		answer, err := parseAnswer(reply)
 		if err == nil && answer.ID == id {
--- a/entry/config.go
+++ b/entry/config.go
@@ -10,14 +10,14 @@
 
 	"github.com/rs/zerolog"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
 )
 
 // Registrar puts this VM into the platform's list; only the stand-in of the platform needs it.
 type Registrar interface {
-	Register(ctx context.Context, vm platform.VM) error
+	Register(ctx context.Context, vm store.VM) error
 }
 
 // Config holds the settings of an entry VM.
@@ -34,8 +34,8 @@
 	SlotPolicy  slot.Policy
 	QueuePolicy queue.Policy
 
-	Store     platform.Store
-	Directory platform.Directory
+	Store     store.Store
+	Directory store.Directory
 	Registrar Registrar // optional
 	Log       zerolog.Logger
 }
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -10,7 +10,7 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 )
 
@@ -256,7 +256,7 @@
 	}
 }
 
-func (e *Entry) mergeList(list platform.List) {
+func (e *Entry) mergeList(list store.List) {
 	if len(e.table.MergeList(time.Now(), list)) > 0 {
 		e.membershipOut.Store(true)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,7 @@
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 	"samphireplank.example/samphireplank/zone"
 )
@@ -33,7 +33,7 @@
 	config      Config
 	incarnation uint64
 	sequence    atomic.Uint64
-	self        platform.VM
+	self        store.VM
 
 	registry  *registry // submissions of callers
 	delegated *registry // jobs that run on behalf of their home; callers that ask for them get the home's answer
@@ -115,15 +115,15 @@
 	return uint64(now.UnixMilli())<<randomBits | uint64(binary.BigEndian.Uint16(random[:]))
 }
 
-func (e *Entry) selfVM() platform.VM {
-	vm := platform.VM{
+func (e *Entry) selfVM() store.VM {
+	vm := store.VM{
 		ID:          e.config.VM,
 		Zone:        e.config.Zone,
-		Role:        platform.RoleEntry,
+		Role:        store.RoleEntry,
 		Address:     e.config.Address,
 		LinkAddress: e.config.LinkAddress,
 		Incarnation: e.incarnation,
-		State:       platform.StateLive,
+		State:       store.StateLive,
 	}
 	if vm.Address == "" {
 		vm.Address = e.callerSocket.Addr().String()
@@ -156,7 +156,7 @@
 		})
 	}
 	if e.config.Registrar != nil {
-		e.group.Go(func() error { return e.register(platform.StateLive) })
+		e.group.Go(func() error { return e.register(store.StateLive) })
 	}
 	select {
 	case <-ctx.Done():
@@ -191,7 +191,7 @@
 }
 
 // register puts this VM into the platform's list and tries again until it succeeds.
-func (e *Entry) register(state platform.State) error {
+func (e *Entry) register(state store.State) error {
 	const retryDelay = 500 * time.Millisecond
 	vm := e.self
 	vm.State = state
@@ -199,7 +199,7 @@
 		ctx, cancel := context.WithTimeout(e.ctx, 2*time.Second)
 		err := e.config.Registrar.Register(ctx, vm)
 		cancel()
-		if err == nil || errors.Is(err, platform.ErrOldIncarnation) {
+		if err == nil || errors.Is(err, store.ErrOldIncarnation) {
 			return nil
 		}
 		e.config.Log.Warn().Str("event", "register-failed").Err(err).Msg("could not register with the platform; trying again")
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -9,7 +9,7 @@
 
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
@@ -101,7 +101,7 @@
 	}
 }
 
-func (e *Entry) exchangeSummary(peer platform.VM) {
+func (e *Entry) exchangeSummary(peer store.VM) {
 	ctx, cancel := context.WithTimeout(e.ctx, summaryPeriod/2)
 	defer cancel()
 	reply, err := e.links.Exchange(ctx, peer.LinkAddress, e.newBatch(peer.ID, e.summaryBatches(), true, true))
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -7,7 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"samphireplank.example/samphireplank/link"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // meteredConn counts the bytes of a connection of the peer link, without TCP and IP.
@@ -61,30 +61,30 @@
 
 // meteredStore counts the calls to the platform's key-value service; an entry VM makes no writes.
 type meteredStore struct {
-	platform.Store
+	store.Store
 	metrics *metricSet
 }
 
 // Get counts a read.
-func (s meteredStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s meteredStore) Get(ctx context.Context, key string) (store.Value, error) {
 	s.metrics.platformReads.Inc()
 	return s.Store.Get(ctx, key)
 }
 
 // Watch counts a watch.
-func (s meteredStore) Watch(ctx context.Context, key string, version uint64) (platform.Value, error) {
+func (s meteredStore) Watch(ctx context.Context, key string, version uint64) (store.Value, error) {
 	s.metrics.platformWatches.Inc()
 	return s.Store.Watch(ctx, key, version)
 }
 
 // meteredDirectory counts the calls for the platform's list.
 type meteredDirectory struct {
-	platform.Directory
+	store.Directory
 	metrics *metricSet
 }
 
 // VMs counts a call for the list.
-func (d meteredDirectory) VMs(ctx context.Context, version uint64) (platform.List, error) {
+func (d meteredDirectory) VMs(ctx context.Context, version uint64) (store.List, error) {
 	d.metrics.platformLists.Inc()
 	return d.Directory.VMs(ctx, version)
 }
@@ -96,7 +96,7 @@
 }
 
 // Register counts a registration.
-func (r meteredRegistrar) Register(ctx context.Context, vm platform.VM) error {
+func (r meteredRegistrar) Register(ctx context.Context, vm store.VM) error {
 	r.metrics.platformRegistrations.Inc()
 	return r.Registrar.Register(ctx, vm)
 }
--- a/entry/meter_test.go
+++ b/entry/meter_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Guards against traffic of the peer link that is counted in the wrong direction or not at all.
@@ -37,23 +37,23 @@
 
 // countedPlatform stands for a platform whose calls return at once.
 type countedPlatform struct {
-	platform.Store
-	platform.Directory
+	store.Store
+	store.Directory
 }
 
-func (countedPlatform) Get(context.Context, string) (platform.Value, error) {
-	return platform.Value{}, nil
+func (countedPlatform) Get(context.Context, string) (store.Value, error) {
+	return store.Value{}, nil
 }
 
-func (countedPlatform) Watch(context.Context, string, uint64) (platform.Value, error) {
-	return platform.Value{}, nil
+func (countedPlatform) Watch(context.Context, string, uint64) (store.Value, error) {
+	return store.Value{}, nil
 }
 
-func (countedPlatform) VMs(context.Context, uint64) (platform.List, error) {
-	return platform.List{}, nil
+func (countedPlatform) VMs(context.Context, uint64) (store.List, error) {
+	return store.List{}, nil
 }
 
-func (countedPlatform) Register(context.Context, platform.VM) error { return nil }
+func (countedPlatform) Register(context.Context, store.VM) error { return nil }
 
 // Guards against calls to the platform that are missing from the count or counted as another kind.
 func TestPlatformCallsAreCounted(t *testing.T) {
@@ -72,7 +72,7 @@
 		_, err = config.Directory.VMs(ctx, 0)
 		is.NoErr(err)
 	}
-	is.NoErr(config.Registrar.Register(ctx, platform.VM{}))
+	is.NoErr(config.Registrar.Register(ctx, store.VM{}))
 	is.Equal(m.platformReads.Get(), uint64(1))
 	is.Equal(m.platformWatches.Get(), uint64(2))
 	is.Equal(m.platformLists.Get(), uint64(3))
--- a/entry/orphan_test.go
+++ b/entry/orphan_test.go
@@ -9,12 +9,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Guards against a refusal that says not-run about a submission that its home may have run before it was lost.
 func TestRefusalWithoutHomeIsUnknown(t *testing.T) {
-	stores := map[string]*platform.Memory{"refused by the core": publishedObjects(t), "no configuration": platform.NewMemory()}
+	stores := map[string]*store.Memory{"refused by the core": publishedObjects(t), "no configuration": store.NewMemory()}
 	for name, memory := range stores {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -7,7 +7,7 @@
 
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/slot"
 )
 
@@ -32,7 +32,7 @@
 
 // outbox collects messages for a peer while an exchange with it is in progress.
 type outbox struct {
-	peer   platform.VM
+	peer   store.VM
 	wake   chan struct{} // a message can't wait; has room for one signal
 	later  chan struct{} // a message can wait; has room for one signal
 	cancel context.CancelFunc
@@ -47,7 +47,7 @@
 }
 
 // set gives the entry VMs of the zone; outboxes of others are closed.
-func (o *outboxes) set(peers []platform.VM) {
+func (o *outboxes) set(peers []store.VM) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	wanted := make(map[string]bool, len(peers))
@@ -66,7 +66,7 @@
 }
 
 // open starts the sender for a peer in place of an earlier incarnation's.
-func (o *outboxes) open(peer platform.VM) {
+func (o *outboxes) open(peer store.VM) {
 	if earlier, ok := o.boxes[peer.ID]; ok {
 		o.close(earlier)
 	}
@@ -79,7 +79,7 @@
 	})
 }
 
-func newOutbox(peer platform.VM, cancel context.CancelFunc) *outbox {
+func newOutbox(peer store.VM, cancel context.CancelFunc) *outbox {
 	return &outbox{
 		peer: peer, wake: make(chan struct{}, 1), later: make(chan struct{}, 1), cancel: cancel,
 		services: make(map[string]*linkpb.ServiceBatch),
@@ -248,10 +248,10 @@
 }
 
 // selfState returns the list entry of this VM with its present state.
-func (e *Entry) selfState() platform.VM {
+func (e *Entry) selfState() store.VM {
 	vm := e.self
 	if e.stopping.Load() {
-		vm.State = platform.StateLeaving
+		vm.State = store.StateLeaving
 	}
 	return vm
 }
--- a/entry/outbox_test.go
+++ b/entry/outbox_test.go
@@ -10,7 +10,7 @@
 
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/slot"
 )
 
@@ -19,7 +19,7 @@
 // Guards against an exchange for each message that can wait, and against a task that waits for such messages.
 func TestMessagesThatCanWaitGoAlong(t *testing.T) {
 	is := is.New(t)
-	box := newOutbox(platform.VM{}, func() {})
+	box := newOutbox(store.VM{}, func() {})
 	add(box, dispatch.SlotMessage{Message: slot.Return{Epoch: 1}})
 	began := time.Now()
 	is.True(box.wait(context.Background(), nil))
@@ -38,7 +38,7 @@
 // Guards against an exchange for messages that have left with an earlier batch.
 func TestSignalOfASentMessageCausesNoBatch(t *testing.T) {
 	is := is.New(t)
-	box := newOutbox(platform.VM{}, func() {})
+	box := newOutbox(store.VM{}, func() {})
 	add(box, dispatch.SlotMessage{Message: slot.Want{Count: 3}})
 	box.take()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*collectPeriod)
@@ -72,8 +72,8 @@
 	is := is.New(t)
 	e := &Entry{links: link.NewClient(link.ClientConfig{}), ctx: context.Background(), group: &errgroup.Group{}}
 	o := newOutboxes(e)
-	o.set([]platform.VM{{ID: "entry-2", Incarnation: 1, LinkAddress: "127.0.0.1:1"}})
-	o.set([]platform.VM{{ID: "entry-2", Incarnation: 2, LinkAddress: "127.0.0.1:2"}})
+	o.set([]store.VM{{ID: "entry-2", Incarnation: 1, LinkAddress: "127.0.0.1:1"}})
+	o.set([]store.VM{{ID: "entry-2", Incarnation: 2, LinkAddress: "127.0.0.1:2"}})
 	is.Equal(len(o.boxes), 1)
 	is.Equal(o.boxes["entry-2"].peer.Incarnation, uint64(2))
 	o.set(nil)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -10,7 +10,7 @@
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/zone"
 )
 
@@ -81,7 +81,7 @@
 	}
 	if r.Leaving {
 		if vm, ok := e.table.Get(batch.From); ok && vm.Incarnation == batch.Incarnation {
-			vm.State = platform.StateLeaving
+			vm.State = store.StateLeaving
 			vms = append(vms, vm)
 		}
 	}
@@ -97,7 +97,7 @@
 	}
 }
 
-func (e *Entry) receiveSummary(now time.Time, sender platform.VM, batch *linkpb.ServiceBatch) {
+func (e *Entry) receiveSummary(now time.Time, sender store.VM, batch *linkpb.ServiceBatch) {
 	e.table.Summarize(now, zone.Summary{
 		Zone: sender.Zone, VM: sender.ID, Service: batch.Service,
 		Slots: int(batch.Summary.Slots), Idle: int(batch.Summary.Idle), Queued: int(batch.Summary.Queued),
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -9,7 +9,7 @@
 
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Times for which the registry remembers what it has seen.
@@ -43,7 +43,7 @@
 	registry   *registry     // that holds it
 	done       chan struct{} // closed when answer is set
 	cancelled  atomic.Bool
-	delegate   atomic.Pointer[platform.VM] // the entry VM that runs it, while it is forwarded
+	delegate   atomic.Pointer[store.VM] // the entry VM that runs it, while it is forwarded
 	orphan     atomic.Bool                 // another VM may have run it and gave no answer
 
 	mu      sync.Mutex
--- a/entry/seed_test.go
+++ b/entry/seed_test.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 )
 
@@ -31,7 +31,7 @@
 }
 
 // publishedObjects returns a platform on which the objects of the load profiles are published.
-func publishedObjects(t *testing.T) *platform.Memory {
+func publishedObjects(t *testing.T) *store.Memory {
 	t.Helper()
 	data, err := os.ReadFile("../examples/profiles/objects.yaml")
 	if err != nil {
@@ -41,7 +41,7 @@
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
-	memory := platform.NewMemory()
+	memory := store.NewMemory()
 	if _, err := publication.New(publication.Config{Store: memory, Author: "test"}).Publish(t.Context(), set, "test"); err != nil {
 		t.Fatal(err)
 	}
@@ -62,9 +62,9 @@
 	var group errgroup.Group
 	group.Go(func() error { return e.Run(ctx) })
 	time.Sleep(200 * time.Millisecond) // the configuration is in force
-	is.NoErr(memory.Register(ctx, platform.VM{
-		ID: "endpoint-1", Zone: "zone-a", Role: platform.RoleEndpoint, Service: "cue", Address: "127.0.0.1:1",
-		Incarnation: 1, State: platform.StateLive,
+	is.NoErr(memory.Register(ctx, store.VM{
+		ID: "endpoint-1", Zone: "zone-a", Role: store.RoleEndpoint, Service: "cue", Address: "127.0.0.1:1",
+		Incarnation: 1, State: store.StateLive,
 	}))
 	began := time.Now()
 	for time.Since(began) < 20*time.Second && endpoints(e) == 0 {
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphireplank.example/samphireplank/dispatch"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 const shutdownPoll = 20 * time.Millisecond
@@ -19,7 +19,7 @@
 	e.stopping.Store(true)
 	e.callers.Drain()
 	if e.config.Registrar != nil {
-		e.group.Go(func() error { return e.register(platform.StateLeaving) })
+		e.group.Go(func() error { return e.register(store.StateLeaving) })
 	}
 	e.sleep(e.config.DrainDelay)
 	ctx, cancel := context.WithTimeout(e.ctx, e.config.StopTimeout)
@@ -39,7 +39,7 @@
 
 // handOver tells peers that this VM leaves and gives its endpoints to their next owners.
 func (e *Entry) handOver() {
-	e.table.Merge(time.Now(), []platform.VM{e.selfState()})
+	e.table.Merge(time.Now(), []store.VM{e.selfState()})
 	e.configure.Lock()
 	e.applyMembership()
 	e.configure.Unlock()
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"samphireplank.example/samphireplank/dispatch"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Status is the answer of GET /v1/status.
@@ -19,7 +19,7 @@
 	Reason      string          `json:"reason,omitempty"` // why it is not ready
 	Generation  uint64          `json:"generation"`
 	Digest      string          `json:"digest"`
-	Peers       []platform.VM   `json:"peers"` // live entry VMs of the zone that are heard from
+	Peers       []store.VM   `json:"peers"` // live entry VMs of the zone that are heard from
 	Silent      []string        `json:"silent"`
 	Services    []ServiceStatus `json:"services"`
 }
@@ -36,7 +36,7 @@
 		VM:          e.config.VM,
 		Zone:        e.config.Zone,
 		Incarnation: e.incarnation,
-		Peers:       append([]platform.VM{}, e.table.Peers()...),
+		Peers:       append([]store.VM{}, e.table.Peers()...),
 		Silent:      []string{},
 		Services:    []ServiceStatus{},
 	}
@@ -62,7 +62,7 @@
 	return status
 }
 
-func contains(vms []platform.VM, id string) bool {
+func contains(vms []store.VM, id string) bool {
 	for _, vm := range vms {
 		if vm.ID == id {
 			return true
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -12,7 +12,7 @@
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // unconfiguredRetryAfter is the time to return given while no configuration is in force.
@@ -165,7 +165,7 @@
 func (e *Entry) forwardHome(rec *record) (answer job.Answer, reached bool) {
 	id := rec.submission.ID
 	home, ok := e.table.Get(id.VM)
-	if !ok || home.Incarnation != id.Incarnation || home.State == platform.StateGone {
+	if !ok || home.Incarnation != id.Incarnation || home.State == store.StateGone {
 		reason := fmt.Sprintf("the entry VM %q that issued the id is gone", id.VM)
 		return job.Answer{ID: id, Outcome: job.Unknown, Reason: reason}, false
 	}
@@ -173,7 +173,7 @@
 }
 
 // forward sends a submission to an entry VM and returns its answer, which is Unknown when none came.
-func (e *Entry) forward(to platform.VM, rec *record, request *linkpb.ForwardRequest) (answer job.Answer, reached bool) {
+func (e *Entry) forward(to store.VM, rec *record, request *linkpb.ForwardRequest) (answer job.Answer, reached bool) {
 	id := rec.submission.ID
 	rec.delegate.Store(&to)
 	defer rec.delegate.Store(nil)
@@ -240,7 +240,7 @@
 }
 
 // overflow offers a submission to another zone and falls back to the refusal of this one.
-func (e *Entry) overflow(rec *record, other platform.VM, refusal job.Answer) {
+func (e *Entry) overflow(rec *record, other store.VM, refusal job.Answer) {
 	answer, reached := e.forward(other, rec, &linkpb.ForwardRequest{OnBehalf: true})
 	switch {
 	case !reached:
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -9,7 +9,7 @@
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
 )
@@ -258,14 +258,14 @@
 	return out
 }
 
-func vmMessage(vm platform.VM) *linkpb.VM {
+func vmMessage(vm store.VM) *linkpb.VM {
 	return &linkpb.VM{
 		Id: vm.ID, Zone: vm.Zone, Role: string(vm.Role), Service: vm.Service, Address: vm.Address,
 		LinkAddress: vm.LinkAddress, Incarnation: vm.Incarnation, State: string(vm.State),
 	}
 }
 
-func vmMessages(vms []platform.VM) []*linkpb.VM {
+func vmMessages(vms []store.VM) []*linkpb.VM {
 	out := make([]*linkpb.VM, 0, len(vms))
 	for _, vm := range vms {
 		out = append(out, vmMessage(vm))
@@ -273,12 +273,12 @@
 	return out
 }
 
-func parseVMs(messages []*linkpb.VM) []platform.VM {
-	out := make([]platform.VM, 0, len(messages))
+func parseVMs(messages []*linkpb.VM) []store.VM {
+	out := make([]store.VM, 0, len(messages))
 	for _, m := range messages {
-		out = append(out, platform.VM{
-			ID: m.Id, Zone: m.Zone, Role: platform.Role(m.Role), Service: m.Service, Address: m.Address,
-			LinkAddress: m.LinkAddress, Incarnation: m.Incarnation, State: platform.State(m.State),
+		out = append(out, store.VM{
+			ID: m.Id, Zone: m.Zone, Role: store.Role(m.Role), Service: m.Service, Address: m.Address,
+			LinkAddress: m.LinkAddress, Incarnation: m.Incarnation, State: store.State(m.State),
 		})
 	}
 	return out
--- a/publication/bench_test.go
+++ b/publication/bench_test.go
@@ -6,16 +6,16 @@
 	"testing"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // countingStore counts the calls and bytes that a publication costs the platform.
 type countingStore struct {
-	*platform.Memory
+	*store.Memory
 	reads, writes, deletes, bytesRead, bytesWritten float64
 }
 
-func (s *countingStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *countingStore) Get(ctx context.Context, key string) (store.Value, error) {
 	value, err := s.Memory.Get(ctx, key)
 	s.reads++
 	s.bytesRead += float64(len(value.Data))
@@ -51,7 +51,7 @@
 			b.Fatal(err)
 		}
 		b.Run(fmt.Sprintf("teams=%d/bytes=%d", teams, len(data)), func(b *testing.B) {
-			store := &countingStore{Memory: platform.NewMemory()}
+			store := &countingStore{Memory: store.NewMemory()}
 			publisher := testPublisher(store, "mari")
 			variant := 0
 			publish := func() {
@@ -81,7 +81,7 @@
 // BenchmarkFetch brings one entry VM to the next generation, by the change and by the whole set.
 func BenchmarkFetch(b *testing.B) {
 	for _, teams := range []int{20, 2000, 15_000} {
-		store := &countingStore{Memory: platform.NewMemory()}
+		store := &countingStore{Memory: store.NewMemory()}
 		publisher := testPublisher(store, "mari")
 		first, second := largeSet(teams, 0), largeSet(teams, 1)
 		if _, err := publisher.Publish(b.Context(), first, "first"); err != nil {
--- a/publication/head.go
+++ b/publication/head.go
@@ -11,7 +11,7 @@
 	"unicode/utf8"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // HeadKey is the key of the head record.
@@ -172,9 +172,9 @@
 }
 
 // ReadHead returns the head and its version in the store; before the first publication both are zero.
-func ReadHead(ctx context.Context, store platform.Store) (Head, uint64, error) {
-	value, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func ReadHead(ctx context.Context, kv store.Store) (Head, uint64, error) {
+	value, err := kv.Get(ctx, HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -187,10 +187,10 @@
 // WatchHead waits until the head has another version than the given one and returns it with its version.
 // It returns a head of generation 0 with the given version when the wait ended first, and with version 0 while the
 // head does not exist.
-func WatchHead(ctx context.Context, store platform.Store, version uint64) (Head, uint64, error) {
-	value, err := store.Watch(ctx, HeadKey, version)
+func WatchHead(ctx context.Context, kv store.Store, version uint64) (Head, uint64, error) {
+	value, err := kv.Watch(ctx, HeadKey, version)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return Head{}, 0, nil
 	case err != nil:
 		return Head{}, 0, fmt.Errorf("watch head: %w", err)
--- a/publication/history.go
+++ b/publication/history.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // History returns the record in force and up to MaxHistory records before it, newest first.
@@ -63,21 +63,21 @@
 
 // Fetch returns the set of a record: by the change from the set at hand, which may be nil, else as a whole.
 // It returns an error unless the set has the digest of the record.
-func Fetch(ctx context.Context, store platform.Store, have *contract.Set, record Record) (*contract.Set, error) {
+func Fetch(ctx context.Context, kv store.Store, have *contract.Set, record Record) (*contract.Set, error) {
 	if have != nil {
-		if set, ok := fetchChange(ctx, store, have, record.Digest); ok {
+		if set, ok := fetchChange(ctx, kv, have, record.Digest); ok {
 			return set, nil
 		}
 	}
-	return readSet(ctx, store, record.Digest)
+	return readSet(ctx, kv, record.Digest)
 }
 
-func fetchChange(ctx context.Context, store platform.Store, have *contract.Set, to contract.Digest) (*contract.Set, bool) {
+func fetchChange(ctx context.Context, kv store.Store, have *contract.Set, to contract.Digest) (*contract.Set, bool) {
 	from := have.Digest()
 	if from == to {
 		return have, true
 	}
-	value, err := store.Get(ctx, ChangeKey(from, to))
+	value, err := kv.Get(ctx, ChangeKey(from, to))
 	if err != nil {
 		return nil, false
 	}
@@ -89,8 +89,8 @@
 	return set, err == nil
 }
 
-func readSet(ctx context.Context, store platform.Store, digest contract.Digest) (*contract.Set, error) {
-	value, err := store.Get(ctx, SetKey(digest))
+func readSet(ctx context.Context, kv store.Store, digest contract.Digest) (*contract.Set, error) {
+	value, err := kv.Get(ctx, SetKey(digest))
 	if err != nil {
 		return nil, fmt.Errorf("read set %s: %w", digest, err)
 	}
--- a/publication/interleave_test.go
+++ b/publication/interleave_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // turnStore lets a publisher make one call of the store at a time, whenever the test gives it a turn.
@@ -21,7 +21,7 @@
 	turn chan struct{}
 }
 
-func (s turnStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s turnStore) Get(ctx context.Context, key string) (store.Value, error) {
 	<-s.turn
 	return s.memoryStore.Get(ctx, key)
 }
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
@@ -20,7 +20,7 @@
 
 // Config is the construction of a Publisher; only Store and Author are required.
 type Config struct {
-	Store  platform.Store
+	Store  store.Store
 	Author string
 	Clock  func() time.Time
 	// Base refuses the publication with a *RaceError unless the head has this generation; 0 accepts any.
@@ -34,7 +34,7 @@
 // Publisher publishes sets on behalf of one author.
 type Publisher struct {
 	config  Config
-	store   platform.Store // with a bound on each call
+	store   store.Store // with a bound on each call
 	history int            // earlier records that a new head keeps
 }
 
@@ -168,7 +168,7 @@
 	a.written = append(a.written, key)
 	return retry(ctx, func() error {
 		value, err := p.store.Get(ctx, key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
 		_, err = p.store.CompareAndSwap(ctx, key, value.Version, data)
@@ -185,14 +185,14 @@
 			return err
 		}
 		_, swapErr := p.store.CompareAndSwap(ctx, HeadKey, a.version, data)
-		if swapErr == nil || errors.Is(swapErr, platform.ErrValueTooLarge) {
+		if swapErr == nil || errors.Is(swapErr, store.ErrValueTooLarge) {
 			return swapErr
 		}
 		a.unclear = a.unclear || !hadNoEffect(swapErr)
 		return p.settle(ctx, a, swapErr)
 	})
 	var race *RaceError
-	if err == nil || errors.As(err, &race) || errors.Is(err, platform.ErrValueTooLarge) {
+	if err == nil || errors.As(err, &race) || errors.Is(err, store.ErrValueTooLarge) {
 		return err
 	}
 	if !a.unclear {
@@ -204,7 +204,7 @@
 // hadNoEffect says whether a swap certainly changed nothing. The client joins the errors of several servers, so one
 // server without an effect proves nothing if another one is uncertain.
 func hadNoEffect(err error) bool {
-	return platform.HadNoEffect(err) && !errors.Is(err, platform.ErrUncertain)
+	return store.HadNoEffect(err) && !errors.Is(err, store.ErrUncertain)
 }
 
 // settle reads the head back after a swap without a clear answer.
@@ -233,7 +233,7 @@
 	for {
 		err := call()
 		var race *RaceError
-		if err == nil || errors.As(err, &race) || errors.Is(err, platform.ErrValueTooLarge) {
+		if err == nil || errors.As(err, &race) || errors.Is(err, store.ErrValueTooLarge) {
 			return err
 		}
 		select {
--- a/publication/publish_test.go
+++ b/publication/publish_test.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // testSet returns a valid set that differs from others in one queue bound.
@@ -24,7 +24,7 @@
 	}
 }
 
-func testPublisher(store platform.Store, author string) *Publisher {
+func testPublisher(kv store.Store, author string) *Publisher {
 	return New(Config{Store: store, Author: author, CallTimeout: time.Second, SettleTimeout: 10 * time.Second})
 }
 
@@ -212,7 +212,7 @@
 	}})
 	_, err := publisher.Publish(t.Context(), testSet(1000), "first")
 	var outOfReach *OutOfReachError
-	is.True(errors.Is(err, platform.ErrNoEffect))
+	is.True(errors.Is(err, store.ErrNoEffect))
 	is.True(!errors.As(err, &outOfReach))
 }
 
@@ -280,7 +280,7 @@
 }
 
 // follow accepts what the head names until the generation is in force and fails if the generation decreases.
-func follow(ctx context.Context, store platform.Store, last uint64) error {
+func follow(ctx context.Context, kv store.Store, last uint64) error {
 	var acceptor Acceptor
 	var version uint64
 	for {
--- a/publication/retire.go
+++ b/publication/retire.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 	later := earlier[min(len(earlier), retiredPerPublication):]
 	for _, key := range appendRetired(a.next, append(dropped, earlier[:len(earlier)-len(later)]...)) {
 		value, err := p.store.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			continue
 		}
 		a.next.Retired = append(a.next.Retired, key)
--- a/publication/store_test.go
+++ b/publication/store_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 var errStore = errors.New("no answer")
@@ -23,21 +23,21 @@
 	before    func(call, key string, version uint64) // runs before each call
 }
 
-// memoryStore is a platform.Store in memory; versions grow over all keys, so that a new key never repeats one.
+// memoryStore is a store.Store in memory; versions grow over all keys, so that a new key never repeats one.
 type memoryStore struct {
 	mutex    sync.Mutex
 	random   *rand.Rand
 	faults   faults
 	revision uint64
-	values   map[string]platform.Value
-	earlier  map[string]platform.Value
+	values   map[string]store.Value
+	earlier  map[string]store.Value
 }
 
 func newMemoryStore(seed uint64) *memoryStore {
 	return &memoryStore{
 		random:  rand.New(rand.NewPCG(seed, 1)),
-		values:  map[string]platform.Value{},
-		earlier: map[string]platform.Value{},
+		values:  map[string]store.Value{},
+		earlier: map[string]store.Value{},
 	}
 }
 
@@ -62,7 +62,7 @@
 		time.Sleep(time.Duration(share * float64(f.delay)))
 	}
 	if f.refused {
-		return platform.ErrNoEffect
+		return store.ErrNoEffect
 	}
 	if f.down {
 		return errStore
@@ -74,9 +74,9 @@
 	return nil
 }
 
-func (s *memoryStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *memoryStore) Get(ctx context.Context, key string) (store.Value, error) {
 	if err := s.enter(ctx, "get", key, 0); err != nil {
-		return platform.Value{}, err
+		return store.Value{}, err
 	}
 	defer s.mutex.Unlock()
 	value := s.values[key]
@@ -84,7 +84,7 @@
 		value = s.earlier[key]
 	}
 	if value.Version == 0 {
-		return platform.Value{}, platform.ErrNotFound
+		return store.Value{}, store.ErrNotFound
 	}
 	return value, nil
 }
@@ -98,14 +98,14 @@
 		return 0, errStore
 	}
 	if s.values[key].Version != version {
-		return 0, platform.ErrVersionMismatch
+		return 0, store.ErrVersionMismatch
 	}
-	if len(data) > platform.MaxValueSize {
-		return 0, platform.ErrValueTooLarge
+	if len(data) > store.MaxValueSize {
+		return 0, store.ErrValueTooLarge
 	}
 	s.revision++
 	s.earlier[key] = s.values[key]
-	s.values[key] = platform.Value{Data: append([]byte(nil), data...), Version: s.revision}
+	s.values[key] = store.Value{Data: append([]byte(nil), data...), Version: s.revision}
 	if s.random.Float64() < s.faults.lost {
 		return 0, errStore
 	}
@@ -118,13 +118,13 @@
 	}
 	defer s.mutex.Unlock()
 	if s.values[key].Version != version {
-		return platform.ErrVersionMismatch
+		return store.ErrVersionMismatch
 	}
 	delete(s.values, key)
 	return nil
 }
 
-func (s *memoryStore) Watch(ctx context.Context, key string, version uint64) (platform.Value, error) {
+func (s *memoryStore) Watch(ctx context.Context, key string, version uint64) (store.Value, error) {
 	for {
 		value, err := s.Get(ctx, key)
 		if err != nil || value.Version != version {
@@ -132,7 +132,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Value{Version: version}, nil
+			return store.Value{Version: version}, nil
 		case <-time.After(time.Millisecond):
 		}
 	}
--- a/publication/timed.go
+++ b/publication/timed.go
@@ -4,16 +4,16 @@
 	"context"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // timedStore bounds each call of a store, so that one call without an answer leaves time to find out what became of it.
 type timedStore struct {
-	platform.Store
+	store.Store
 	timeout time.Duration
 }
 
-func (s timedStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s timedStore) Get(ctx context.Context, key string) (store.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	return s.Store.Get(ctx, key)
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Defaults of EndpointConfig.
@@ -42,9 +42,9 @@
 	Ledger      *Ledger   // shared by the endpoints of a process; its own if nil
 }
 
-// Registrar puts VMs into the platform's list; platform.Client and platform.Memory are Registrars.
+// Registrar puts VMs into the platform's list; store.Client and store.Memory are Registrars.
 type Registrar interface {
-	Register(ctx context.Context, vm platform.VM) error
+	Register(ctx context.Context, vm store.VM) error
 }
 
 // Endpoint is a stand-in for an endpoint of a service.
@@ -133,12 +133,12 @@
 	l.listener.deaf.Store(has(e.faults, FaultCloseBeforeReading))
 	l.group.Go(func() error { return l.server.Serve(l.listener) })
 	e.life, e.left = l, time.Time{}
-	e.register(l, platform.StateLive)
+	e.register(l, store.StateLive)
 	return nil
 }
 
 // register repeats the registration until the platform has it or the endpoint stops.
-func (e *Endpoint) register(l *life, state platform.State) {
+func (e *Endpoint) register(l *life, state store.State) {
 	if e.cfg.Registrar == nil {
 		return
 	}
@@ -147,7 +147,7 @@
 		const pause = 100 * time.Millisecond
 		for {
 			err := e.cfg.Registrar.Register(l.ended, vm)
-			if err == nil || errors.Is(err, platform.ErrOldIncarnation) {
+			if err == nil || errors.Is(err, store.ErrOldIncarnation) {
 				return nil
 			}
 			select {
@@ -159,9 +159,9 @@
 	})
 }
 
-func (e *Endpoint) vm(l *life, state platform.State) platform.VM {
-	return platform.VM{
-		ID: e.cfg.ID, Zone: e.cfg.Zone, Role: platform.RoleEndpoint, Service: e.cfg.Service,
+func (e *Endpoint) vm(l *life, state store.State) store.VM {
+	return store.VM{
+		ID: e.cfg.ID, Zone: e.cfg.Zone, Role: store.RoleEndpoint, Service: e.cfg.Service,
 		Address: e.address, Incarnation: l.incarnation, State: state,
 	}
 }
@@ -170,15 +170,15 @@
 func (e *Endpoint) ID() string { return e.cfg.ID }
 
 // VM returns the entry of the list of VMs that the endpoint registers.
-func (e *Endpoint) VM() platform.VM {
+func (e *Endpoint) VM() store.VM {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.life == nil {
-		return platform.VM{}
+		return store.VM{}
 	}
-	state := platform.StateLive
+	state := store.StateLive
 	if !e.left.IsZero() {
-		state = platform.StateLeaving
+		state = store.StateLeaving
 	}
 	return e.vm(e.life, state)
 }
@@ -191,7 +191,7 @@
 		return
 	}
 	e.left = time.Now()
-	e.register(e.life, platform.StateLeaving)
+	e.register(e.life, store.StateLeaving)
 }
 
 // Stop ends the endpoint as a crash does: connections are reset and tasks in flight are lost.
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 func startEndpoint(t *testing.T, cfg EndpointConfig) *Endpoint {
@@ -145,7 +145,7 @@
 // against a leaving endpoint whose later starts are not counted.
 func TestEndpointLifeCycle(t *testing.T) {
 	is := is.New(t)
-	memory := platform.NewMemory()
+	memory := store.NewMemory()
 	e := startEndpoint(t, EndpointConfig{Registrar: memory, Zone: "a", Service: "cue", Slots: 1})
 	before := e.VM()
 	is.NoErr(e.SetFaults([]Fault{{Kind: FaultSilent}}))
@@ -164,7 +164,7 @@
 	time.Sleep(20 * time.Millisecond)
 	list, err := memory.VMs(t.Context(), 0)
 	is.NoErr(err)
-	is.Equal(list.VMs[0].State, platform.StateLeaving)
+	is.Equal(list.VMs[0].State, store.StateLeaving)
 	is.Equal(list.VMs[0].Incarnation, after.Incarnation)
 }
 
--- a/standin/example_test.go
+++ b/standin/example_test.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strings"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
 )
 
@@ -34,7 +34,7 @@
 	}
 	_ = response.Body.Close()
 	fmt.Println(response.StatusCode, response.Header.Get("Not-Run"))
-	fmt.Println(fleet.Ledger().Task("job/0").Refusals, fleet.Endpoints()[0].VM().State == platform.StateLive)
+	fmt.Println(fleet.Ledger().Task("job/0").Refusals, fleet.Endpoints()[0].VM().State == store.StateLive)
 	// Output:
 	// 503 true
 	// 1 true
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // maxWait bounds a long poll, so that a caller that has gone costs a goroutine for no longer.
@@ -60,7 +60,7 @@
 //	defer p.Close()
 type Platform struct {
 	address string
-	memory  *platform.Memory
+	memory  *store.Memory
 	server  *fasthttp.Server
 	group   errgroup.Group
 	closed  context.Context
@@ -77,7 +77,7 @@
 
 // NewPlatform returns a Platform that serves after Start.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	p := &Platform{address: cfg.Address, memory: platform.NewMemory()}
+	p := &Platform{address: cfg.Address, memory: store.NewMemory()}
 	if p.address == "" {
 		p.address = "127.0.0.1:0"
 	}
@@ -121,7 +121,7 @@
 func (p *Platform) Address() string { return p.address }
 
 // Memory returns the state that the server gives access to.
-func (p *Platform) Memory() *platform.Memory { return p.memory }
+func (p *Platform) Memory() *store.Memory { return p.memory }
 
 // Close ends all calls and the server.
 func (p *Platform) Close() error {
@@ -217,7 +217,7 @@
 	}
 	if faults.Unavailable {
 		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
-		ctx.Response.Header.Set(platform.HeaderNoEffect, "true")
+		ctx.Response.Header.Set(store.HeaderNoEffect, "true")
 		return true
 	}
 	return false
@@ -238,7 +238,7 @@
 }
 
 func (p *Platform) cut(ctx *fasthttp.RequestCtx) bool {
-	zone := string(ctx.Request.Header.Peek(platform.HeaderZone))
+	zone := string(ctx.Request.Header.Peek(store.HeaderZone))
 	for _, cut := range p.Faults().CutZones {
 		if cut == zone {
 			return true
@@ -269,7 +269,7 @@
 
 func (p *Platform) serveRegistration(ctx *fasthttp.RequestCtx, escaped string) {
 	p.registrations.Add(1)
-	var vm platform.VM
+	var vm store.VM
 	id, err := url.PathUnescape(escaped)
 	if err == nil {
 		err = strictJSON(ctx.PostBody(), &vm)
@@ -297,16 +297,16 @@
 // writeStatus maps the errors of the store to statuses.
 func writeStatus(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return fasthttp.StatusNotFound
-	case errors.Is(err, platform.ErrVersionMismatch):
+	case errors.Is(err, store.ErrVersionMismatch):
 		return fasthttp.StatusConflict
-	case errors.Is(err, platform.ErrValueTooLarge):
+	case errors.Is(err, store.ErrValueTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	}
 	return fasthttp.StatusInternalServerError
 }
 
 func setVersion(ctx *fasthttp.RequestCtx, version uint64) {
-	ctx.Response.Header.Set(platform.HeaderVersion, strconv.FormatUint(version, 10))
+	ctx.Response.Header.Set(store.HeaderVersion, strconv.FormatUint(version, 10))
 }
--- a/standin/platform_calls.go
+++ b/standin/platform_calls.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 func (p *Platform) serveKey(ctx *fasthttp.RequestCtx, escaped string) {
@@ -41,9 +41,9 @@
 
 func (p *Platform) serveWrite(ctx *fasthttp.RequestCtx, key string) {
 	p.writes.Add(1)
-	version, err := strconv.ParseUint(string(ctx.Request.Header.Peek(platform.HeaderIfVersion)), 10, 64)
+	version, err := strconv.ParseUint(string(ctx.Request.Header.Peek(store.HeaderIfVersion)), 10, 64)
 	if err != nil {
-		ctx.Error("missing or malformed "+platform.HeaderIfVersion, fasthttp.StatusBadRequest)
+		ctx.Error("missing or malformed "+store.HeaderIfVersion, fasthttp.StatusBadRequest)
 		return
 	}
 	if ctx.IsDelete() {
@@ -84,7 +84,7 @@
 	case value.Version == version:
 		ctx.SetStatusCode(fasthttp.StatusNotModified)
 	case value.Version == 0:
-		ctx.Error(platform.ErrNotFound.Error(), fasthttp.StatusNotFound)
+		ctx.Error(store.ErrNotFound.Error(), fasthttp.StatusNotFound)
 	default:
 		sendValue(ctx, value)
 	}
@@ -115,8 +115,8 @@
 	sendJSON(ctx, list)
 }
 
-func filter(vms []platform.VM, zone, role string) []platform.VM {
-	kept := make([]platform.VM, 0, len(vms))
+func filter(vms []store.VM, zone, role string) []store.VM {
+	kept := make([]store.VM, 0, len(vms))
 	for _, vm := range vms {
 		if (zone == "" || vm.Zone == zone) && (role == "" || string(vm.Role) == role) {
 			kept = append(kept, vm)
@@ -160,7 +160,7 @@
 	}
 }
 
-func sendValue(ctx *fasthttp.RequestCtx, value platform.Value) {
+func sendValue(ctx *fasthttp.RequestCtx, value store.Value) {
 	setVersion(ctx, value.Version)
 	ctx.SetContentType("application/octet-stream")
 	ctx.SetBody(value.Data)
--- a/platform/client.go
+++ b/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -30,9 +30,9 @@
 	Wait      time.Duration // longest long poll asked for; DefaultWait if 0
 }
 
-// Client is a Store and a Directory over HTTP; docs/platform.md describes the protocol.
+// Client is a Store and a Directory over HTTP; docs/store.md describes the protocol.
 //
-//	client := platform.NewClient(platform.ClientConfig{Addresses: []string{"127.0.0.1:7000"}})
+//	client := store.NewClient(platform.ClientConfig{Addresses: []string{"127.0.0.1:7000"}})
 //	value, err := client.Get(ctx, "samphireplank/head")
 type Client struct {
 	bases     []string
--- a/platform/contract_test.go
+++ b/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,34 +10,34 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
 )
 
 // service is what the contract is about.
 type service interface {
-	platform.Store
-	platform.Directory
+	store.Store
+	store.Directory
 	standin.Registrar
 }
 
 // each runs a test against the in-memory service and against the stand-in through the client.
 func each(t *testing.T, test func(*testing.T, service)) {
-	t.Run("memory", func(t *testing.T) { test(t, platform.NewMemory()) })
+	t.Run("memory", func(t *testing.T) { test(t, store.NewMemory()) })
 	t.Run("stand-in", func(t *testing.T) {
-		_, client := startPlatform(t, platform.ClientConfig{})
+		_, client := startPlatform(t, store.ClientConfig{})
 		test(t, client)
 	})
 }
 
-func startPlatform(t *testing.T, cfg platform.ClientConfig) (*standin.Platform, *platform.Client) {
+func startPlatform(t *testing.T, cfg store.ClientConfig) (*standin.Platform, *store.Client) {
 	t.Helper()
 	p := standin.NewPlatform(standin.PlatformConfig{})
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
 	cfg.Addresses = append(cfg.Addresses, p.Address())
-	client := platform.NewClient(cfg)
+	client := store.NewClient(cfg)
 	t.Cleanup(func() {
 		client.Close()
 		if err := p.Close(); err != nil {
@@ -53,20 +53,20 @@
 		is, ctx := is.New(t), t.Context()
 		const key = "samphireplank/change/a b/%2F?"
 		_, err := s.Get(ctx, key)
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, store.ErrNotFound))
 		first, err := s.CompareAndSwap(ctx, key, 0, []byte("one"))
 		is.NoErr(err)
 		_, err = s.CompareAndSwap(ctx, key, 0, []byte("again"))
-		is.True(errors.Is(err, platform.ErrVersionMismatch) && platform.HadNoEffect(err))
+		is.True(errors.Is(err, store.ErrVersionMismatch) && store.HadNoEffect(err))
 		second, err := s.CompareAndSwap(ctx, key, first, []byte("two"))
 		is.NoErr(err)
 		is.True(second > first)
 		value, err := s.Get(ctx, key)
 		is.NoErr(err)
-		is.Equal(value, platform.Value{Data: []byte("two"), Version: second})
-		is.True(errors.Is(s.Delete(ctx, key, first), platform.ErrVersionMismatch))
+		is.Equal(value, store.Value{Data: []byte("two"), Version: second})
+		is.True(errors.Is(s.Delete(ctx, key, first), store.ErrVersionMismatch))
 		is.NoErr(s.Delete(ctx, key, second))
-		is.True(errors.Is(s.Delete(ctx, key, second), platform.ErrNotFound))
+		is.True(errors.Is(s.Delete(ctx, key, second), store.ErrNotFound))
 		third, err := s.CompareAndSwap(ctx, key, 0, nil)
 		is.NoErr(err)
 		is.True(third > second) // a version never comes back
@@ -95,13 +95,13 @@
 func TestContractValueSize(t *testing.T) {
 	each(t, func(t *testing.T, s service) {
 		is := is.New(t)
-		_, err := s.CompareAndSwap(t.Context(), "large", 0, make([]byte, platform.MaxValueSize+1))
-		is.True(errors.Is(err, platform.ErrValueTooLarge))
-		_, err = s.CompareAndSwap(t.Context(), "large", 0, make([]byte, platform.MaxValueSize))
+		_, err := s.CompareAndSwap(t.Context(), "large", 0, make([]byte, store.MaxValueSize+1))
+		is.True(errors.Is(err, store.ErrValueTooLarge))
+		_, err = s.CompareAndSwap(t.Context(), "large", 0, make([]byte, store.MaxValueSize))
 		is.NoErr(err)
 		value, err := s.Get(t.Context(), "large")
 		is.NoErr(err)
-		is.Equal(len(value.Data), platform.MaxValueSize)
+		is.Equal(len(value.Data), store.MaxValueSize)
 	})
 }
 
@@ -109,7 +109,7 @@
 func TestContractWatch(t *testing.T) {
 	each(t, func(t *testing.T, s service) {
 		is := is.New(t)
-		watched := make(chan platform.Value, 1)
+		watched := make(chan store.Value, 1)
 		var group sync.WaitGroup
 		group.Go(func() {
 			value, _ := s.Watch(t.Context(), "head", 0)
@@ -119,17 +119,17 @@
 		version, err := s.CompareAndSwap(t.Context(), "head", 0, []byte("one"))
 		is.NoErr(err)
 		group.Wait()
-		is.Equal(<-watched, platform.Value{Data: []byte("one"), Version: version})
+		is.Equal(<-watched, store.Value{Data: []byte("one"), Version: version})
 
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
 		value, err := s.Watch(ctx, "head", version)
 		is.NoErr(err)
-		is.Equal(value, platform.Value{Data: []byte("one"), Version: version}) // unchanged
+		is.Equal(value, store.Value{Data: []byte("one"), Version: version}) // unchanged
 		is.NoErr(s.Delete(t.Context(), "head", version))
 		value, err = s.Watch(t.Context(), "head", version)
 		is.NoErr(err)
-		is.Equal(value, platform.Value{}) // deleted
+		is.Equal(value, store.Value{}) // deleted
 	})
 }
 
@@ -137,20 +137,20 @@
 func TestContractList(t *testing.T) {
 	each(t, func(t *testing.T, s service) {
 		is, ctx := is.New(t), t.Context()
-		vm := platform.VM{ID: "e/1", Zone: "a", Role: platform.RoleEntry, Address: "127.0.0.1:1", Incarnation: 2, State: platform.StateLeaving}
+		vm := store.VM{ID: "e/1", Zone: "a", Role: store.RoleEntry, Address: "127.0.0.1:1", Incarnation: 2, State: store.StateLeaving}
 		before, err := s.VMs(ctx, 0)
 		is.NoErr(err)
 		is.NoErr(s.Register(ctx, vm))
 		list, err := s.VMs(ctx, before.Version)
 		is.NoErr(err)
-		is.Equal(list.VMs, []platform.VM{vm})
-		for _, old := range []platform.VM{{ID: vm.ID, Address: "x", Incarnation: 1, State: platform.StateLive}, {ID: vm.ID, Address: "x", Incarnation: 2, State: platform.StateLive}} {
-			is.True(errors.Is(s.Register(ctx, old), platform.ErrOldIncarnation))
+		is.Equal(list.VMs, []store.VM{vm})
+		for _, old := range []store.VM{{ID: vm.ID, Address: "x", Incarnation: 1, State: store.StateLive}, {ID: vm.ID, Address: "x", Incarnation: 2, State: store.StateLive}} {
+			is.True(errors.Is(s.Register(ctx, old), store.ErrOldIncarnation))
 		}
 		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
 		same, err := s.VMs(short, list.Version)
 		is.NoErr(err)
-		is.Equal(same, platform.List{Version: list.Version})
+		is.Equal(same, store.List{Version: list.Version})
 	})
 }
--- a/platform/fault_test.go
+++ b/store/fault_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
 )
 
@@ -23,21 +23,21 @@
 	}{
 		"none":             {effect: true},
 		"slow":             {faults: standin.PlatformFaults{DelayMS: 20}, effect: true},
-		"slower than wait": {faults: standin.PlatformFaults{DelayMS: 1000}, err: platform.ErrUncertain},
-		"down":             {faults: standin.PlatformFaults{Down: true}, err: platform.ErrUncertain},
-		"unavailable":      {faults: standin.PlatformFaults{Unavailable: true}, err: platform.ErrNoEffect},
-		"answer lost":      {faults: standin.PlatformFaults{LoseAnswer: 1}, err: platform.ErrUncertain, effect: true},
-		"cut off":          {faults: standin.PlatformFaults{CutZones: []string{"a"}}, err: platform.ErrUncertain},
+		"slower than wait": {faults: standin.PlatformFaults{DelayMS: 1000}, err: store.ErrUncertain},
+		"down":             {faults: standin.PlatformFaults{Down: true}, err: store.ErrUncertain},
+		"unavailable":      {faults: standin.PlatformFaults{Unavailable: true}, err: store.ErrNoEffect},
+		"answer lost":      {faults: standin.PlatformFaults{LoseAnswer: 1}, err: store.ErrUncertain, effect: true},
+		"cut off":          {faults: standin.PlatformFaults{CutZones: []string{"a"}}, err: store.ErrUncertain},
 		"other zone cut":   {faults: standin.PlatformFaults{CutZones: []string{"b"}}, effect: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, client := startPlatform(t, platform.ClientConfig{Zone: "a", Timeout: 300 * time.Millisecond})
+			p, client := startPlatform(t, store.ClientConfig{Zone: "a", Timeout: 300 * time.Millisecond})
 			p.SetFaults(c.faults)
 			_, err := client.CompareAndSwap(t.Context(), "head", 0, []byte("x"))
 			is.True(errors.Is(err, c.err))
-			is.Equal(platform.HadNoEffect(err), errors.Is(c.err, platform.ErrNoEffect))
+			is.Equal(store.HadNoEffect(err), errors.Is(c.err, store.ErrNoEffect))
 			_, err = p.Memory().Get(t.Context(), "head")
 			is.Equal(err == nil, c.effect)
 		})
@@ -51,10 +51,10 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(closed.Close())
-	alone := platform.NewClient(platform.ClientConfig{Addresses: []string{closed.Addr().String()}})
+	alone := store.NewClient(store.ClientConfig{Addresses: []string{closed.Addr().String()}})
 	_, err = alone.CompareAndSwap(t.Context(), "head", 0, nil)
-	is.True(errors.Is(err, platform.ErrNoEffect))
-	_, client := startPlatform(t, platform.ClientConfig{Addresses: []string{closed.Addr().String()}})
+	is.True(errors.Is(err, store.ErrNoEffect))
+	_, client := startPlatform(t, store.ClientConfig{Addresses: []string{closed.Addr().String()}})
 	_, err = client.CompareAndSwap(t.Context(), "head", 0, nil)
 	is.NoErr(err)
 }
@@ -62,9 +62,9 @@
 // Guards against a server that never answers and takes the time of the others.
 func TestNextAddressAfterSilence(t *testing.T) {
 	is := is.New(t)
-	silent, _ := startPlatform(t, platform.ClientConfig{})
+	silent, _ := startPlatform(t, store.ClientConfig{})
 	silent.SetFaults(standin.PlatformFaults{CutZones: []string{"a"}})
-	_, client := startPlatform(t, platform.ClientConfig{Zone: "a", Addresses: []string{silent.Address()}, Timeout: 100 * time.Millisecond})
+	_, client := startPlatform(t, store.ClientConfig{Zone: "a", Addresses: []string{silent.Address()}, Timeout: 100 * time.Millisecond})
 	list, err := client.VMs(t.Context(), 0)
 	is.NoErr(err)
 	is.True(list.Version > 0)
@@ -73,13 +73,13 @@
 // Guards against a watch that never sees a change after it has missed it.
 func TestWatchSeesMissedEventLater(t *testing.T) {
 	is := is.New(t)
-	p, client := startPlatform(t, platform.ClientConfig{Wait: 200 * time.Millisecond})
+	p, client := startPlatform(t, store.ClientConfig{Wait: 200 * time.Millisecond})
 	p.SetFaults(standin.PlatformFaults{MissEvent: 1})
 	var group sync.WaitGroup
 	group.Go(func() {
 		value, err := client.Watch(t.Context(), "head", 0)
 		is.NoErr(err)
-		is.Equal(value, platform.Value{})
+		is.Equal(value, store.Value{})
 	})
 	time.Sleep(50 * time.Millisecond)
 	version, err := p.Memory().CompareAndSwap(t.Context(), "head", 0, []byte("x"))
@@ -96,7 +96,7 @@
 	for name, faults := range map[string]standin.PlatformFaults{"down": {Down: true}, "cut": {CutZones: []string{"a"}}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, client := startPlatform(t, platform.ClientConfig{Zone: "a", Wait: 300 * time.Millisecond, Timeout: 300 * time.Millisecond})
+			p, client := startPlatform(t, store.ClientConfig{Zone: "a", Wait: 300 * time.Millisecond, Timeout: 300 * time.Millisecond})
 			var group sync.WaitGroup
 			group.Go(func() {
 				_, err := client.Watch(t.Context(), "head", 0)
@@ -114,29 +114,29 @@
 // Guards against an unchanged value without its data after the platform has ended the wait.
 func TestWatchEndsWithValue(t *testing.T) {
 	is := is.New(t)
-	_, client := startPlatform(t, platform.ClientConfig{Wait: 20 * time.Millisecond})
+	_, client := startPlatform(t, store.ClientConfig{Wait: 20 * time.Millisecond})
 	version, err := client.CompareAndSwap(t.Context(), "head", 0, []byte("x"))
 	is.NoErr(err)
 	for range 2 {
 		value, err := client.Watch(t.Context(), "head", version)
 		is.NoErr(err)
-		is.Equal(value, platform.Value{Data: []byte("x"), Version: version})
+		is.Equal(value, store.Value{Data: []byte("x"), Version: version})
 	}
 }
 
 // Guards against a list that shows a VM before its lag is over, or never.
 func TestListLags(t *testing.T) {
 	is := is.New(t)
-	p, client := startPlatform(t, platform.ClientConfig{})
+	p, client := startPlatform(t, store.ClientConfig{})
 	p.SetFaults(standin.PlatformFaults{ListLagMS: 200})
 	before, err := client.VMs(t.Context(), 0)
 	is.NoErr(err)
-	is.NoErr(client.Register(t.Context(), platform.VM{ID: "e", Address: "127.0.0.1:1", Incarnation: 1, State: platform.StateLive}))
+	is.NoErr(client.Register(t.Context(), store.VM{ID: "e", Address: "127.0.0.1:1", Incarnation: 1, State: store.StateLive}))
 	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	list, err := client.VMs(short, before.Version)
 	is.NoErr(err)
-	is.Equal(list, platform.List{Version: before.Version})
+	is.Equal(list, store.List{Version: before.Version})
 	list, err = client.VMs(t.Context(), before.Version)
 	is.NoErr(err)
 	is.Equal(len(list.VMs), 1)
--- a/platform/memory.go
+++ b/store/memory.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 // Memory is a Store and a Directory in the memory of one process.
 //
-//	memory := platform.NewMemory()
+//	memory := store.NewMemory()
 //	version, err := memory.CompareAndSwap(ctx, "key", 0, []byte("value"))
 type Memory struct {
 	mu       sync.Mutex
--- a/zone/summary.go
+++ b/zone/summary.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Summary is the state of a service in a zone as one of the zone's entry VMs sees it.
@@ -64,7 +64,7 @@
 
 // BestZone returns an entry VM of the zone with the most idle slots that can take a job of so many tasks at once, by a
 // summary less than 2 s old; the tasks count as forwarded there until the next summary.
-func (t *Table) BestZone(now time.Time, service string, tasks int) (vm platform.VM, ok bool) {
+func (t *Table) BestZone(now time.Time, service string, tasks int) (vm store.VM, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best := -1
@@ -77,7 +77,7 @@
 		}
 	}
 	if best < 0 {
-		return platform.VM{}, false
+		return store.VM{}, false
 	}
 	chosen := t.summaries[best]
 	for i := range t.summaries {
@@ -92,7 +92,7 @@
 // mayForward reports whether the sender of a summary is live and its zone hasn't refused a job recently.
 func (t *Table) mayForward(now time.Time, s summary) bool {
 	r := t.byID[s.VM]
-	if r == nil || r.vm.State != platform.StateLive || now.Before(r.unreachable) {
+	if r == nil || r.vm.State != store.StateLive || now.Before(r.unreachable) {
 		return false
 	}
 	i, found := t.findBackoff(s.Zone)
@@ -139,11 +139,11 @@
 
 // SummaryPeers returns two entry VMs of each other zone to exchange summaries with, sorted by zone; the entry VMs of the
 // own zone choose different ones by their position, so that each VM of the other zone serves equally many.
-func (t *Table) SummaryPeers(now time.Time) []platform.VM {
+func (t *Table) SummaryPeers(now time.Time) []store.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	position := max(0, slices.IndexFunc(t.entries, func(vm platform.VM) bool { return vm.ID == t.config.VM }))
-	var chosen []platform.VM
+	position := max(0, slices.IndexFunc(t.entries, func(vm store.VM) bool { return vm.ID == t.config.VM }))
+	var chosen []store.VM
 	for _, candidates := range t.otherZones(now) {
 		for i := range min(summaryPeersCount, len(candidates)) {
 			chosen = append(chosen, candidates[(summaryPeersCount*position+i)%len(candidates)])
@@ -153,18 +153,18 @@
 }
 
 // otherZones returns the reachable live entry VMs of each other zone, sorted by zone and id.
-func (t *Table) otherZones(now time.Time) [][]platform.VM {
-	var vms []platform.VM
+func (t *Table) otherZones(now time.Time) [][]store.VM {
+	var vms []store.VM
 	for _, r := range t.records {
-		other := r.vm.Role == platform.RoleEntry && r.vm.Zone != t.config.Zone
-		if other && r.vm.State == platform.StateLive && !now.Before(r.unreachable) {
+		other := r.vm.Role == store.RoleEntry && r.vm.Zone != t.config.Zone
+		if other && r.vm.State == store.StateLive && !now.Before(r.unreachable) {
 			vms = append(vms, r.vm)
 		}
 	}
-	slices.SortStableFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.Zone, b.Zone) })
-	var zones [][]platform.VM
+	slices.SortStableFunc(vms, func(a, b store.VM) int { return cmp.Compare(a.Zone, b.Zone) })
+	var zones [][]store.VM
 	for len(vms) > 0 {
-		end := slices.IndexFunc(vms, func(vm platform.VM) bool { return vm.Zone != vms[0].Zone })
+		end := slices.IndexFunc(vms, func(vm store.VM) bool { return vm.Zone != vms[0].Zone })
 		if end < 0 {
 			end = len(vms)
 		}
--- a/zone/table.go
+++ b/zone/table.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Config sets up a Table; zero durations have the defaults of the design.
@@ -32,14 +32,14 @@
 
 // Change is a VM whose entry or reachability has changed.
 type Change struct {
-	VM    platform.VM
+	VM    store.VM
 	Lost  bool // an entry VM of the own zone has fallen silent
 	Found bool // a lost one was heard again
 }
 
 // record is what the table knows of a VM.
 type record struct {
-	vm      platform.VM
+	vm      store.VM
 	changed time.Time
 	number  uint64 // of the change; 0 if peers needn't be told
 	told    uint64 // number of the last change that this peer was told
@@ -65,7 +65,7 @@
 	hash      uint64
 	entryHash uint64        // of the entry VMs alone
 	changes   uint64        // number of the last change
-	entries   []platform.VM // live entry VMs of the own zone, sorted by id
+	entries   []store.VM // live entry VMs of the own zone, sorted by id
 	version   uint64        // highest version of the platform's list
 
 	summaries []summary // sorted by service, zone and VM
@@ -78,9 +78,9 @@
 	config.RecentFor = cmp.Or(config.RecentFor, 10*time.Second)
 	config.SummaryAge = cmp.Or(config.SummaryAge, 2*time.Second)
 	t := &Table{config: config, byID: map[string]*record{}}
-	self := platform.VM{
-		ID: config.VM, Zone: config.Zone, Role: platform.RoleEntry, Address: config.Address,
-		LinkAddress: config.LinkAddress, Incarnation: config.Incarnation, State: platform.StateLive,
+	self := store.VM{
+		ID: config.VM, Zone: config.Zone, Role: store.RoleEntry, Address: config.Address,
+		LinkAddress: config.LinkAddress, Incarnation: config.Incarnation, State: store.StateLive,
 	}
 	t.add(&record{vm: self})
 	t.number(t.byID[self.ID])
@@ -101,14 +101,14 @@
 }
 
 // Merge takes over entries from peers; an entry is used if its incarnation is higher or its state is further on.
-func (t *Table) Merge(now time.Time, vms []platform.VM) []Change {
+func (t *Table) Merge(now time.Time, vms []store.VM) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.merge(now, vms, true)
 }
 
 // MergeList takes over the platform's list; a VM that newer lists lack for 10 s is gone.
-func (t *Table) MergeList(now time.Time, list platform.List) []Change {
+func (t *Table) MergeList(now time.Time, list store.List) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changes := t.merge(now, list.VMs, t.version > 0) // peers have the first list as well
@@ -120,7 +120,7 @@
 }
 
 // merge takes over entries; report says whether peers may not know the changes.
-func (t *Table) merge(now time.Time, vms []platform.VM, report bool) []Change {
+func (t *Table) merge(now time.Time, vms []store.VM, report bool) []Change {
 	var changes []Change
 	for _, vm := range vms {
 		if t.relevant(vm) && t.accept(now, vm) {
@@ -138,19 +138,19 @@
 }
 
 // relevant keeps entry VMs of all zones and endpoints of the own zone.
-func (t *Table) relevant(vm platform.VM) bool {
+func (t *Table) relevant(vm store.VM) bool {
 	if vm.ID == "" || rank(vm.State) < 0 {
 		return false
 	}
-	return vm.Role == platform.RoleEntry || vm.Role == platform.RoleEndpoint && vm.Zone == t.config.Zone
+	return vm.Role == store.RoleEntry || vm.Role == store.RoleEndpoint && vm.Zone == t.config.Zone
 }
 
 // accept takes over an entry and reports whether that changes anything that other packages see.
-func (t *Table) accept(now time.Time, vm platform.VM) bool {
+func (t *Table) accept(now time.Time, vm store.VM) bool {
 	r := t.byID[vm.ID]
 	if r == nil {
 		t.add(&record{vm: vm, changed: now, heard: now})
-		return vm.State != platform.StateGone
+		return vm.State != store.StateGone
 	}
 	switch {
 	case vm.Incarnation > r.vm.Incarnation:
@@ -169,7 +169,7 @@
 }
 
 // fill adds the fields that a VM known only by its reports lacks.
-func (r *record) fill(vm platform.VM) bool {
+func (r *record) fill(vm store.VM) bool {
 	before := r.vm
 	r.vm.Address = cmp.Or(r.vm.Address, vm.Address)
 	r.vm.LinkAddress = cmp.Or(r.vm.LinkAddress, vm.LinkAddress)
@@ -177,12 +177,12 @@
 }
 
 // rank orders the states; it is negative for an unknown one.
-func rank(s platform.State) int {
-	return slices.Index([]platform.State{platform.StateLive, platform.StateLeaving, platform.StateGone}, s)
+func rank(s store.State) int {
+	return slices.Index([]store.State{store.StateLive, store.StateLeaving, store.StateGone}, s)
 }
 
 // absences marks VMs as gone that earlier lists named and newer ones lack.
-func (t *Table) absences(now time.Time, vms []platform.VM) []Change {
+func (t *Table) absences(now time.Time, vms []store.VM) []Change {
 	for _, r := range t.records {
 		if r.listed && r.absent.IsZero() {
 			r.absent = now
@@ -202,8 +202,8 @@
 		if r.absent.IsZero() || now.Sub(r.absent) < absentFor || r.vm.ID == t.config.VM {
 			continue
 		}
-		if r.vm.State != platform.StateGone {
-			r.vm.State = platform.StateGone
+		if r.vm.State != store.StateGone {
+			r.vm.State = store.StateGone
 			r.changed = now
 			t.number(r)
 			changes = append(changes, Change{VM: r.vm})
@@ -226,7 +226,7 @@
 	r.heard, r.unreachable = now, time.Time{}
 	if incarnation > r.vm.Incarnation {
 		restarted := r.vm
-		restarted.Incarnation, restarted.State = incarnation, platform.StateLive
+		restarted.Incarnation, restarted.State = incarnation, store.StateLive
 		t.accept(now, restarted)
 		t.number(r)
 		t.refresh()
@@ -261,8 +261,8 @@
 
 // isPeer reports whether a VM is another entry VM of the own zone that isn't gone.
 func (t *Table) isPeer(r *record) bool {
-	return r.vm.ID != t.config.VM && r.vm.Zone == t.config.Zone && r.vm.Role == platform.RoleEntry &&
-		r.vm.State != platform.StateGone
+	return r.vm.ID != t.config.VM && r.vm.Zone == t.config.Zone && r.vm.Role == store.RoleEntry &&
+		r.vm.State != store.StateGone
 }
 
 func (t *Table) silentTo(now time.Time, r *record) bool {
@@ -307,7 +307,7 @@
 
 func (t *Table) forget(now time.Time) {
 	t.records = slices.DeleteFunc(t.records, func(r *record) bool {
-		old := r.vm.State == platform.StateGone && now.Sub(r.changed) >= goneFor
+		old := r.vm.State == store.StateGone && now.Sub(r.changed) >= goneFor
 		if old {
 			delete(t.byID, r.vm.ID)
 		}
@@ -320,15 +320,15 @@
 	t.entries = nil
 	t.hash, t.entryHash = 0, 0
 	for _, r := range t.records {
-		if r.vm.State == platform.StateGone {
+		if r.vm.State == store.StateGone {
 			continue
 		}
 		t.hash ^= r.digest()
-		if r.vm.Role == platform.RoleEntry {
+		if r.vm.Role == store.RoleEntry {
 			t.entryHash ^= r.digest()
 		}
 		self := r.vm.ID == t.config.VM
-		if (self || t.isPeer(r) && !r.lost) && r.vm.State == platform.StateLive {
+		if (self || t.isPeer(r) && !r.lost) && r.vm.State == store.StateLive {
 			t.entries = append(t.entries, r.vm)
 		}
 	}
--- a/zone/table_test.go
+++ b/zone/table_test.go
@@ -9,29 +9,29 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 var start = time.Unix(1000, 0)
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func entry(zone string, i int, incarnation uint64, state platform.State) platform.VM {
+func entry(zone string, i int, incarnation uint64, state store.State) store.VM {
 	id := fmt.Sprintf("%s-entry-%d", zone, i)
-	return platform.VM{ID: id, Zone: zone, Role: platform.RoleEntry, Address: id + ":80", Incarnation: incarnation, State: state}
+	return store.VM{ID: id, Zone: zone, Role: store.RoleEntry, Address: id + ":80", Incarnation: incarnation, State: state}
 }
 
-func executor(i int, incarnation uint64, state platform.State) platform.VM {
+func executor(i int, incarnation uint64, state store.State) store.VM {
 	id := fmt.Sprintf("executor-%03d", i)
-	return platform.VM{ID: id, Zone: "a", Role: platform.RoleEndpoint, Service: "sort", Address: id + ":80", Incarnation: incarnation, State: state}
+	return store.VM{ID: id, Zone: "a", Role: store.RoleEndpoint, Service: "sort", Address: id + ":80", Incarnation: incarnation, State: state}
 }
 
 func newTestTable(i int) *Table {
-	self := entry("a", i, 1, platform.StateLive)
+	self := entry("a", i, 1, store.StateLive)
 	return NewTable(Config{VM: self.ID, Zone: "a", Incarnation: 1, Address: self.Address})
 }
 
-func ids(vms []platform.VM) string {
+func ids(vms []store.VM) string {
 	text := ""
 	for _, vm := range vms {
 		text += vm.ID + " "
@@ -39,24 +39,24 @@
 	return text
 }
 
-const live, leaving, gone = platform.StateLive, platform.StateLeaving, platform.StateGone
+const live, leaving, gone = store.StateLive, store.StateLeaving, store.StateGone
 
 func TestStatesMoveForward(t *testing.T) {
 	cases := []struct {
 		name    string
-		merges  []platform.VM
-		state   platform.State
+		merges  []store.VM
+		state   store.State
 		inc     uint64
 		changes int
 	}{
-		{"new", []platform.VM{executor(1, 1, live)}, live, 1, 1},
-		{"leaving", []platform.VM{executor(1, 1, live), executor(1, 1, leaving)}, leaving, 1, 2},
-		{"list goes backward", []platform.VM{executor(1, 1, leaving), executor(1, 1, live)}, leaving, 1, 1},
-		{"gone and stale list", []platform.VM{executor(1, 1, gone), executor(1, 1, live), executor(1, 1, leaving)}, gone, 1, 0},
-		{"restart", []platform.VM{executor(1, 1, gone), executor(1, 2, live)}, live, 2, 1},
-		{"old incarnation", []platform.VM{executor(1, 2, live), executor(1, 1, gone)}, live, 2, 1},
-		{"unknown state", []platform.VM{executor(1, 1, live), executor(1, 1, "sleeping")}, live, 1, 1},
-		{"repeated", []platform.VM{executor(1, 1, live), executor(1, 1, live)}, live, 1, 1},
+		{"new", []store.VM{executor(1, 1, live)}, live, 1, 1},
+		{"leaving", []store.VM{executor(1, 1, live), executor(1, 1, leaving)}, leaving, 1, 2},
+		{"list goes backward", []store.VM{executor(1, 1, leaving), executor(1, 1, live)}, leaving, 1, 1},
+		{"gone and stale list", []store.VM{executor(1, 1, gone), executor(1, 1, live), executor(1, 1, leaving)}, gone, 1, 0},
+		{"restart", []store.VM{executor(1, 1, gone), executor(1, 2, live)}, live, 2, 1},
+		{"old incarnation", []store.VM{executor(1, 2, live), executor(1, 1, gone)}, live, 2, 1},
+		{"unknown state", []store.VM{executor(1, 1, live), executor(1, 1, "sleeping")}, live, 1, 1},
+		{"repeated", []store.VM{executor(1, 1, live), executor(1, 1, live)}, live, 1, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -64,7 +64,7 @@
 			table := newTestTable(0)
 			changes := 0
 			for _, vm := range tc.merges {
-				changes += len(table.Merge(start, []platform.VM{vm}))
+				changes += len(table.Merge(start, []store.VM{vm}))
 			}
 			vm, ok := table.Get("executor-001")
 			is.True(ok)
@@ -80,7 +80,7 @@
 func TestLostAndFound(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(0)
-	list := []platform.VM{entry("a", 0, 1, live), entry("a", 1, 1, live), entry("a", 2, 1, leaving), entry("b", 0, 1, live)}
+	list := []store.VM{entry("a", 0, 1, live), entry("a", 1, 1, live), entry("a", 2, 1, leaving), entry("b", 0, 1, live)}
 	table.Merge(start, list)
 	is.Equal(ids(table.Entries()), "a-entry-0 a-entry-1 ")
 	is.Equal(ids(table.Peers()), "a-entry-1 a-entry-2 ")
@@ -105,7 +105,7 @@
 func TestBrokenLinkBetweenTwo(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(0)
-	table.Merge(start, []platform.VM{entry("a", 1, 1, live), entry("a", 2, 1, live)})
+	table.Merge(start, []store.VM{entry("a", 1, 1, live), entry("a", 2, 1, live)})
 	for i := range 30 {
 		now := at(time.Duration(i) * 100 * time.Millisecond)
 		table.Heard(now, "a-entry-1", 1)
@@ -122,12 +122,12 @@
 func TestAbsentFromList(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(0)
-	table.MergeList(start, platform.List{Version: 5, VMs: []platform.VM{executor(1, 1, live), executor(2, 1, live)}})
-	shorter := []platform.VM{executor(1, 1, live)}
-	table.MergeList(at(1*time.Second), platform.List{Version: 4, VMs: shorter}) // a list of earlier
-	table.MergeList(at(2*time.Second), platform.List{Version: 6})               // unchanged, or broken
+	table.MergeList(start, store.List{Version: 5, VMs: []store.VM{executor(1, 1, live), executor(2, 1, live)}})
+	shorter := []store.VM{executor(1, 1, live)}
+	table.MergeList(at(1*time.Second), store.List{Version: 4, VMs: shorter}) // a list of earlier
+	table.MergeList(at(2*time.Second), store.List{Version: 6})               // unchanged, or broken
 	is.Equal(len(table.Tick(at(13*time.Second))), 0)
-	table.MergeList(at(20*time.Second), platform.List{Version: 6, VMs: shorter})
+	table.MergeList(at(20*time.Second), store.List{Version: 6, VMs: shorter})
 	is.Equal(len(table.Tick(at(29*time.Second))), 0)
 	changes := table.Tick(at(30 * time.Second))
 	is.Equal(len(changes), 1)
@@ -139,7 +139,7 @@
 func TestReports(t *testing.T) {
 	is := is.New(t)
 	a, b := newTestTable(0), newTestTable(1)
-	b.Merge(start, []platform.VM{entry("a", 0, 1, live)})
+	b.Merge(start, []store.VM{entry("a", 0, 1, live)})
 	exchange := func(now time.Time) {
 		a.Merge(now, b.Recent(now, "a-entry-0"))
 		b.Merge(now, a.Recent(now, "a-entry-1"))
@@ -147,11 +147,11 @@
 	exchange(start)
 	is.Equal(a.Hash(), b.Hash())
 	is.Equal(ids(a.Entries()), "a-entry-0 a-entry-1 ")
-	var vms []platform.VM
+	var vms []store.VM
 	for i := range 40 {
 		vms = append(vms, executor(i, 1, live))
 	}
-	a.MergeList(start, platform.List{Version: 1, VMs: vms})
+	a.MergeList(start, store.List{Version: 1, VMs: vms})
 	exchange(start)
 	is.Equal(len(b.Endpoints("sort")), 0) // the first list isn't reported
 	is.True(a.Hash() != b.Hash())
@@ -163,14 +163,14 @@
 	for i := range 8 { // a rack
 		vms[i].State = leaving
 	}
-	a.MergeList(at(5*time.Second), platform.List{Version: 2, VMs: vms})
+	a.MergeList(at(5*time.Second), store.List{Version: 2, VMs: vms})
 	is.Equal(len(a.Recent(at(5*time.Second), "a-entry-1")), recentLimit) // a lost report
 	exchange(at(5 * time.Second))
 	is.Equal(len(b.Endpoints("sort")), 36)
 	is.True(a.Hash() != b.Hash())
 	is.Equal(len(a.Recent(at(6*time.Second), "a-entry-1")), 0) // everything was told once
-	a.Merge(at(7*time.Second), []platform.VM{entry("a", 0, 1, leaving)})
-	is.Equal(a.Recent(at(7*time.Second), "a-entry-1"), []platform.VM{entry("a", 0, 1, leaving)}) // its own end
+	a.Merge(at(7*time.Second), []store.VM{entry("a", 0, 1, leaving)})
+	is.Equal(a.Recent(at(7*time.Second), "a-entry-1"), []store.VM{entry("a", 0, 1, leaving)}) // its own end
 }
 
 // A change of one VM must move only the endpoints of that VM.
@@ -178,7 +178,7 @@
 	is := is.New(t)
 	table := newTestTable(0)
 	for i := range 5 {
-		table.Merge(start, []platform.VM{entry("a", i, 1, live)})
+		table.Merge(start, []store.VM{entry("a", i, 1, live)})
 	}
 	owners := map[string]int{}
 	before := map[int]string{}
@@ -191,7 +191,7 @@
 		n := owners[entry("a", i, 1, live).ID]
 		is.True(n > 25 && n < 65) // 44 on average
 	}
-	table.Merge(start, []platform.VM{entry("a", 3, 1, leaving)})
+	table.Merge(start, []store.VM{entry("a", 3, 1, leaving)})
 	for i := range 220 {
 		if owner := table.Owner(executor(i, 1, live).ID); before[i] != "a-entry-3" {
 			is.Equal(owner, before[i])
@@ -202,7 +202,7 @@
 func TestZonesThatHelp(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(0)
-	table.Merge(start, []platform.VM{entry("b", 0, 1, live), entry("b", 1, 1, live), entry("c", 0, 1, live), entry("c", 1, 1, leaving)})
+	table.Merge(start, []store.VM{entry("b", 0, 1, live), entry("b", 1, 1, live), entry("c", 0, 1, live), entry("c", 1, 1, leaving)})
 	best := func(now time.Time, tasks int) string {
 		vm, _ := table.BestZone(now, "sort", tasks)
 		return vm.ID
@@ -233,7 +233,7 @@
 // Each VM of another zone must serve about the same number of VMs, and one that doesn't answer must be replaced.
 func TestSummaryPeersAreSpread(t *testing.T) {
 	is := is.New(t)
-	var vms []platform.VM
+	var vms []store.VM
 	for i := range 5 {
 		vms = append(vms, entry("a", i, 1, live), entry("b", i, 1, live))
 	}
@@ -260,8 +260,8 @@
 // Whatever the order of messages, tables that have merged the same entries are equal, and no state moves backward.
 func TestMergeOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		draw := rapid.Custom(func(rt *rapid.T) platform.VM {
-			state := rapid.SampledFrom([]platform.State{live, leaving, gone}).Draw(rt, "state")
+		draw := rapid.Custom(func(rt *rapid.T) store.VM {
+			state := rapid.SampledFrom([]store.State{live, leaving, gone}).Draw(rt, "state")
 			incarnation := rapid.Uint64Range(1, 3).Draw(rt, "incarnation")
 			if rapid.Bool().Draw(rt, "entry") {
 				return entry("a", rapid.IntRange(0, 3).Draw(rt, "i"), incarnation, state)
@@ -292,15 +292,15 @@
 	here, there := entry("a", 0, 1, live), entry("b", 0, 1, live)
 	a := NewTable(Config{VM: here.ID, Zone: "a", Incarnation: 1, Address: here.Address})
 	b := NewTable(Config{VM: there.ID, Zone: "b", Incarnation: 1, Address: there.Address})
-	list := []platform.VM{here, there, entry("b", 1, 1, live), executor(1, 1, live)}
-	a.MergeList(start, platform.List{Version: 1, VMs: list})
-	b.MergeList(start, platform.List{Version: 1, VMs: list})
+	list := []store.VM{here, there, entry("b", 1, 1, live), executor(1, 1, live)}
+	a.MergeList(start, store.List{Version: 1, VMs: list})
+	b.MergeList(start, store.List{Version: 1, VMs: list})
 	is.True(a.Hash() != b.Hash()) // only a holds the endpoint
 	is.Equal(a.HashFor(there.ID), b.HashFor(here.ID))
 	is.True(!b.Diverged(start, here.ID, a.HashFor(there.ID)))
 	is.True(!b.Diverged(at(3*time.Second), here.ID, a.HashFor(there.ID)))
 
-	a.Merge(at(3*time.Second), []platform.VM{entry("b", 1, 1, leaving)})
+	a.Merge(at(3*time.Second), []store.VM{entry("b", 1, 1, leaving)})
 	is.True(!b.Diverged(at(4*time.Second), here.ID, a.HashFor(there.ID)))
 	is.True(b.Diverged(at(7*time.Second), here.ID, a.HashFor(there.ID))) // an entry VM that b has not heard of
 	is.Equal(a.HashFor("a-entry-1"), a.Hash())                           // unknown, so of this zone
--- a/zone/view.go
+++ b/zone/view.go
@@ -5,48 +5,48 @@
 	"slices"
 	"time"
 
-	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Endpoints returns the live endpoints of a service in the own zone, sorted by id.
-func (t *Table) Endpoints(service string) []platform.VM {
+func (t *Table) Endpoints(service string) []store.VM {
 	return t.find(func(r *record) bool {
-		return r.vm.Role == platform.RoleEndpoint && r.vm.Service == service && r.vm.State == platform.StateLive
+		return r.vm.Role == store.RoleEndpoint && r.vm.Service == service && r.vm.State == store.StateLive
 	})
 }
 
 // Entries returns the live entry VMs of the own zone without lost ones, sorted by id.
-func (t *Table) Entries() []platform.VM {
+func (t *Table) Entries() []store.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.Clone(t.entries)
 }
 
 // Peers returns the other entry VMs of the own zone, live or leaving, without lost ones, sorted by id.
-func (t *Table) Peers() []platform.VM {
+func (t *Table) Peers() []store.VM {
 	return t.find(func(r *record) bool { return t.isPeer(r) && !r.lost })
 }
 
 // Known returns the other entry VMs of the own zone that aren't gone, with lost ones, to which reports are sent.
-func (t *Table) Known() []platform.VM { return t.find(t.isPeer) }
+func (t *Table) Known() []store.VM { return t.find(t.isPeer) }
 
 // All returns the whole table with VMs that are gone, for an exchange, sorted by id.
-func (t *Table) All() []platform.VM { return t.find(func(*record) bool { return true }) }
+func (t *Table) All() []store.VM { return t.find(func(*record) bool { return true }) }
 
 // Get returns the entry of a VM.
-func (t *Table) Get(id string) (platform.VM, bool) {
+func (t *Table) Get(id string) (store.VM, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.byID[id]; r != nil {
 		return r.vm, true
 	}
-	return platform.VM{}, false
+	return store.VM{}, false
 }
 
-func (t *Table) find(match func(*record) bool) []platform.VM {
+func (t *Table) find(match func(*record) bool) []store.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var vms []platform.VM
+	var vms []store.VM
 	for _, r := range t.records {
 		if match(r) {
 			vms = append(vms, r.vm)
@@ -70,7 +70,7 @@
 
 // Recent returns the changes of the last 10 s for a report to a peer, at most four and each once; a peer that misses one
 // finds another hash.
-func (t *Table) Recent(now time.Time, peer string) []platform.VM {
+func (t *Table) Recent(now time.Time, peer string) []store.VM {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	to := t.byID[peer]
@@ -80,13 +80,13 @@
 	var due []*record
 	for _, r := range t.records {
 		old := !r.changed.IsZero() && now.Sub(r.changed) >= t.config.RecentFor
-		useful := r.vm.Role == platform.RoleEntry || to.vm.Zone == t.config.Zone
+		useful := r.vm.Role == store.RoleEntry || to.vm.Zone == t.config.Zone
 		if r.number > to.told && r != to && !old && useful {
 			due = append(due, r)
 		}
 	}
 	slices.SortFunc(due, func(a, b *record) int { return cmp.Compare(a.number, b.number) })
-	var vms []platform.VM
+	var vms []store.VM
 	for _, r := range due[:min(len(due), recentLimit)] {
 		to.told = r.number
 		vms = append(vms, r.vm)
