Rename the variables that shadowed the package store

Change: those parameters are called kv; imports in gofumpt's order. Check: go vet ./... and the tests of publication and cmd pass.

--- a/cmd/samphireplank-standin/endpoint.go
+++ b/cmd/samphireplank-standin/endpoint.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
+	"samphireplank.example/samphireplank/store"
 )
 
 // endpointCommand holds the flags of the endpoint stand-ins.
--- a/cmd/samphireplank/demo.go
+++ b/cmd/samphireplank/demo.go
@@ -14,9 +14,9 @@
 	"samphireplank.example/samphireplank/entry"
 	"samphireplank.example/samphireplank/examples"
 	"samphireplank.example/samphireplank/load"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
 	"samphireplank.example/samphireplank/standin"
+	"samphireplank.example/samphireplank/store"
 )
 
 const demoHelp = "Runs everything in one process on loopback ports: stand-ins of the platform and of endpoints, 9 entry VMs in 3 " +
--- a/cmd/samphireplank/entry.go
+++ b/cmd/samphireplank/entry.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"samphireplank.example/samphireplank/entry"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
+	"samphireplank.example/samphireplank/store"
 )
 
 const entryHelp = "Runs an entry VM until SIGTERM or an interrupt starts its graceful shutdown. Readiness is GET /readyz on --listen."
--- a/cmd/samphireplank/plan.go
+++ b/cmd/samphireplank/plan.go
@@ -6,8 +6,8 @@
 	"io"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
+	"samphireplank.example/samphireplank/store"
 )
 
 const planHelp = "Checks object files and shows how they differ from the set that was published last. " +
@@ -48,7 +48,7 @@
 
 // readPublished returns the head and its set; both are empty before the first publication.
 func readPublished(ctx context.Context, kv store.Store) (publication.Head, *contract.Set, error) {
-	head, _, err := publication.ReadHead(ctx, store)
+	head, _, err := publication.ReadHead(ctx, kv)
 	if err != nil || head.Generation == 0 {
 		return head, &contract.Set{}, err
 	}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -8,8 +8,8 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Size of the benchmarks: the teams, priorities and endpoints of one zone, and the tasks of each job.
--- a/dispatch/zone_test.go
+++ b/dispatch/zone_test.go
@@ -11,8 +11,8 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
+	"samphireplank.example/samphireplank/store"
 )
 
 // event is something that happens at a time in a test zone.
--- a/entry/config.go
+++ b/entry/config.go
@@ -10,9 +10,9 @@
 
 	"github.com/rs/zerolog"
 
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Registrar puts this VM into the platform's list; only the stand-in of the platform needs it.
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -10,8 +10,8 @@
 	"samphireplank.example/samphireplank/contract"
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,8 +17,8 @@
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
+	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/zone"
 )
 
--- a/entry/outbox.go
+++ b/entry/outbox.go
@@ -7,8 +7,8 @@
 
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/slot"
+	"samphireplank.example/samphireplank/store"
 )
 
 // heartbeatPeriod is the longest time between two batches to an entry VM of the zone. It exceeds the period of idle
--- a/entry/outbox_test.go
+++ b/entry/outbox_test.go
@@ -10,8 +10,8 @@
 
 	"samphireplank.example/samphireplank/dispatch"
 	"samphireplank.example/samphireplank/link"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/slot"
+	"samphireplank.example/samphireplank/store"
 )
 
 func add(box *outbox, body dispatch.PeerBody) { box.add("cue", body, noFlows) }
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -44,7 +44,7 @@
 	done       chan struct{} // closed when answer is set
 	cancelled  atomic.Bool
 	delegate   atomic.Pointer[store.VM] // the entry VM that runs it, while it is forwarded
-	orphan     atomic.Bool                 // another VM may have run it and gave no answer
+	orphan     atomic.Bool              // another VM may have run it and gave no answer
 
 	mu      sync.Mutex
 	results []job.Result
--- a/entry/seed_test.go
+++ b/entry/seed_test.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/contract"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/publication"
+	"samphireplank.example/samphireplank/store"
 )
 
 // silentPeers returns addresses that accept connections and answer nothing, as entry VMs behind a partition do.
--- a/entry/status.go
+++ b/entry/status.go
@@ -19,7 +19,7 @@
 	Reason      string          `json:"reason,omitempty"` // why it is not ready
 	Generation  uint64          `json:"generation"`
 	Digest      string          `json:"digest"`
-	Peers       []store.VM   `json:"peers"` // live entry VMs of the zone that are heard from
+	Peers       []store.VM      `json:"peers"` // live entry VMs of the zone that are heard from
 	Silent      []string        `json:"silent"`
 	Services    []ServiceStatus `json:"services"`
 }
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -9,9 +9,9 @@
 	"samphireplank.example/samphireplank/endpoint"
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/link/linkpb"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/queue"
 	"samphireplank.example/samphireplank/slot"
+	"samphireplank.example/samphireplank/store"
 )
 
 // flowIndex numbers the flows of a set for the link.
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -35,7 +35,7 @@
 type Publisher struct {
 	config  Config
 	store   store.Store // with a bound on each call
-	history int            // earlier records that a new head keeps
+	history int         // earlier records that a new head keeps
 }
 
 // New returns a publisher.
--- a/publication/publish_test.go
+++ b/publication/publish_test.go
@@ -25,7 +25,7 @@
 }
 
 func testPublisher(kv store.Store, author string) *Publisher {
-	return New(Config{Store: store, Author: author, CallTimeout: time.Second, SettleTimeout: 10 * time.Second})
+	return New(Config{Store: kv, Author: author, CallTimeout: time.Second, SettleTimeout: 10 * time.Second})
 }
 
 // Guards against accepted publications that are lost or doubled, and losers that don't learn who won, when operators
@@ -203,11 +203,11 @@
 
 func testPublishWithoutEffect(t *testing.T) {
 	is := is.New(t)
-	store := newMemoryStore(4)
-	publisher := New(Config{Store: store, Author: "mari", SettleTimeout: 300 * time.Millisecond})
-	store.set(faults{before: func(call, key string, _ uint64) {
+	kv := newMemoryStore(4)
+	publisher := New(Config{Store: kv, Author: "mari", SettleTimeout: 300 * time.Millisecond})
+	kv.set(faults{before: func(call, key string, _ uint64) {
 		if call == "swap" && key == HeadKey {
-			store.set(faults{refused: true})
+			kv.set(faults{refused: true})
 		}
 	}})
 	_, err := publisher.Publish(t.Context(), testSet(1000), "first")
@@ -288,7 +288,7 @@
 		if before.Generation >= last {
 			return nil
 		}
-		head, seen, err := WatchHead(ctx, store, version)
+		head, seen, err := WatchHead(ctx, kv, version)
 		if err != nil {
 			return err
 		}
@@ -296,7 +296,7 @@
 		if head.Generation == 0 {
 			continue
 		}
-		fetched, err := Fetch(ctx, store, set, head.Record)
+		fetched, err := Fetch(ctx, kv, set, head.Record)
 		if err != nil {
 			version = 0 // a stale read; the head is read again
 			continue
--- a/standin/example_test.go
+++ b/standin/example_test.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"strings"
 
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
+	"samphireplank.example/samphireplank/store"
 )
 
 // A platform and an endpoint in one process; the endpoint refuses all tasks as a full guard does.
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
+	"samphireplank.example/samphireplank/store"
 )
 
 // service is what the contract is about.
--- a/store/fault_test.go
+++ b/store/fault_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/standin"
+	"samphireplank.example/samphireplank/store"
 )
 
 // Guards against a write whose effect is reported wrongly, which would lose or repeat a publication.
--- a/zone/table.go
+++ b/zone/table.go
@@ -63,10 +63,10 @@
 	records   []*record // sorted by id
 	byID      map[string]*record
 	hash      uint64
-	entryHash uint64        // of the entry VMs alone
-	changes   uint64        // number of the last change
+	entryHash uint64     // of the entry VMs alone
+	changes   uint64     // number of the last change
 	entries   []store.VM // live entry VMs of the own zone, sorted by id
-	version   uint64        // highest version of the platform's list
+	version   uint64     // highest version of the platform's list
 
 	summaries []summary // sorted by service, zone and VM
 	backoffs  []backoff // sorted by zone
