Watch the store by three prefixes

Change: own keys, configuration and workers' entries are watched apart, the last at most twice a second. Ruled out: unwatched polling of the entries, which costs as much and is later.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,9 @@
 		}
 		return nil
 	})
-	g.background(work, func(ctx context.Context) { g.view.follow(ctx, g.config.Store) })
+	for _, part := range g.view.prefixes() {
+		g.background(work, func(ctx context.Context) { g.view.follow(ctx, g.config.Store, part) })
+	}
 	g.background(work, g.register)
 	g.background(work, g.connect)
 	g.background(work, g.beat)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -24,6 +24,8 @@
 	// watchWait is the longest wait of a watch. A silent connection is found after it, and a configuration must be in
 	// force within 2 s.
 	watchWait = time.Second
+	// workerRest is the pause between two watches of the workers' entries.
+	workerRest = 400 * time.Millisecond
 	// retryDelay is the pause after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
 	// staleTime is the time without an answer of the store after which other VMs are asked.
@@ -52,7 +54,7 @@
 
 	mu            sync.Mutex
 	items         map[string]store.Item
-	revision      int64     // of the store, up to which items is complete
+	revision      int64     // newest of the store that was seen
 	contact       time.Time // last answer of the store
 	configuration *Configuration
 	configRev     int64
@@ -72,12 +74,30 @@
 	}
 }
 
-// follow keeps the view up to date until ctx ends.
-func (v *view) follow(ctx context.Context, keys store.Keyspace) {
+// prefix is a part of the store's keys that is watched on its own.
+type prefix struct {
+	name     string
+	rest     time.Duration // between two watches, to take in several changes at once
+	revision int64         // up to which the keys of the prefix are known
+}
+
+// prefixes returns the parts of the store that a VM watches. Workers write a heartbeat every 1.5 s each; taking in
+// their changes twice a second is enough, since a draining worker gives notice of 2 s.
+func (v *view) prefixes() []*prefix {
+	return []*prefix{
+		{name: ownPrefix},
+		{name: v.codec.ConfigurationKey()},
+		{name: v.codec.WorkerPrefix(), rest: workerRest},
+	}
+}
+
+// follow keeps a part of the view up to date until ctx ends.
+func (v *view) follow(ctx context.Context, keys store.Keyspace, part *prefix) {
 	for ctx.Err() == nil {
-		err := v.read(ctx, keys)
+		err := v.read(ctx, keys, part)
 		for err == nil {
-			err = v.watch(ctx, keys)
+			pause(ctx, part.rest)
+			err = v.watch(ctx, keys, part)
 		}
 		if ctx.Err() != nil {
 			return
@@ -113,16 +133,16 @@
 	}
 }
 
-// read takes in all keys.
-func (v *view) read(ctx context.Context, keys store.Keyspace) error {
-	snapshot, err := keys.Range(ctx, "")
+// read takes in all keys of a prefix.
+func (v *view) read(ctx context.Context, keys store.Keyspace, part *prefix) error {
+	snapshot, err := keys.Range(ctx, part.name)
 	if err != nil {
 		return err
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.answered()
-	if snapshot.Revision < v.revision {
+	if snapshot.Revision < part.revision {
 		return nil // an older copy
 	}
 	present := map[string]bool{}
@@ -131,20 +151,18 @@
 		v.put(item)
 	}
 	for key := range v.items {
-		if !present[key] {
+		if strings.HasPrefix(key, part.name) && !present[key] {
 			v.remove(key)
 		}
 	}
-	v.revision = snapshot.Revision
+	part.revision = snapshot.Revision
+	v.revision = max(v.revision, snapshot.Revision)
 	v.signal()
 	return nil
 }
 
-func (v *view) watch(ctx context.Context, keys store.Keyspace) error {
-	v.mu.Lock()
-	after := v.revision
-	v.mu.Unlock()
-	changes, err := keys.Watch(ctx, "", after, watchWait)
+func (v *view) watch(ctx context.Context, keys store.Keyspace, part *prefix) error {
+	changes, err := keys.Watch(ctx, part.name, part.revision, watchWait)
 	if err != nil {
 		return err
 	}
@@ -161,6 +179,7 @@
 		}
 		v.put(e.Item)
 	}
+	part.revision = max(part.revision, changes.Revision)
 	v.revision = max(v.revision, changes.Revision)
 	if len(changes.Events) > 0 {
 		v.signal()
