Survey workers whose entries have lapsed

Ruled out: a start after the survey of its worker (the worker was unknown), a late order of the old holder (fenced). Change: a VM remembers workers that are no longer listed for the grace of 2.5 s and hands them to the pool, which surveys them like the others before it starts a resumed task again.

--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -250,17 +250,8 @@
 // updateFleets tells the pools which workers they have.
 func (g *Gateway) updateFleets(ctx context.Context) {
 	for _, d := range g.allDrivers() {
-		g.view.mu.Lock()
-		var list []worker.Worker
-		for _, w := range g.view.workers {
-			if w.Zone == d.group {
-				list = append(list, w)
-			}
-		}
-		known := len(g.view.items) > 0
-		g.view.mu.Unlock()
-		if known {
-			d.apply(ctx, placement.Fleet{Workers: list})
+		if fleet, known := g.view.fleet(d.group, g.config.Rules.RemovalGrace); known {
+			d.apply(ctx, fleet)
 		}
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -12,6 +12,7 @@
 
 	"samphireplank.example/samphireplank/claim"
 	"samphireplank.example/samphireplank/peer"
+	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/worker"
 )
@@ -40,7 +41,13 @@
 	Weight      float64 `json:"weight"`
 }
 
-// holding is a record of a holder with its revision.
+// unlisted is a worker whose entry has disappeared.
+type unlisted struct {
+	worker.Worker
+	at time.Time
+}
+
+// holderRecord is a record of a holder with its revision.
 type holderRecord struct {
 	claim.Record
 	revision int64
@@ -60,6 +67,7 @@
 	configRev     int64
 	configRaw     []byte
 	workers       map[string]worker.Worker
+	unlisted      map[string]unlisted // workers whose entries have disappeared
 	vms           map[string]registration
 	holders       map[string]holderRecord
 	changed       chan struct{} // closed by the next change
@@ -69,7 +77,7 @@
 func newView(codec Codec, log zerolog.Logger) *view {
 	return &view{
 		codec: codec, log: log,
-		items: map[string]store.Item{}, workers: map[string]worker.Worker{}, vms: map[string]registration{},
+		items: map[string]store.Item{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlisted{}, vms: map[string]registration{},
 		holders: map[string]holderRecord{}, changed: make(chan struct{}),
 	}
 }
@@ -208,6 +216,7 @@
 			return
 		}
 		v.workers[key] = w
+		delete(v.unlisted, key)
 	case strings.HasPrefix(key, vmPrefix):
 		var r registration
 		if err := json.Unmarshal(item.Value, &r); err != nil {
@@ -245,7 +254,10 @@
 	delete(v.items, key)
 	switch {
 	case strings.HasPrefix(key, v.codec.WorkerPrefix()):
-		delete(v.workers, key)
+		if w, ok := v.workers[key]; ok {
+			v.unlisted[key] = unlisted{w, time.Now()}
+			delete(v.workers, key)
+		}
 	case strings.HasPrefix(key, vmPrefix):
 		delete(v.vms, strings.TrimPrefix(key, vmPrefix))
 	case strings.HasPrefix(key, groupPrefix):
@@ -320,3 +332,25 @@
 	defer v.mu.Unlock()
 	v.signal()
 }
+
+// fleet returns the workers of a zone and drops the unlisted ones that are of no use any more.
+func (v *view) fleet(zone string, grace time.Duration) (fleet placement.Fleet, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, w := range v.workers {
+		if w.Zone == zone {
+			fleet.Workers = append(fleet.Workers, w)
+		}
+	}
+	for key, w := range v.unlisted {
+		since := time.Since(w.at)
+		if since > grace {
+			delete(v.unlisted, key)
+			continue
+		}
+		if w.Zone == zone {
+			fleet.Unlisted = append(fleet.Unlisted, placement.Unlisted{Worker: w.Worker, For: since})
+		}
+	}
+	return fleet, len(v.items) > 0
+}
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -70,9 +70,10 @@
 	}
 }
 
+// allSurveyed says whether every worker that an earlier holder may have used has shown what runs on it.
 func (p *Pool) allSurveyed() bool {
 	for _, n := range p.order {
-		if !n.surveyed && n.removed.IsZero() {
+		if !n.surveyed {
 			return false
 		}
 	}
--- a/placement/message.go
+++ b/placement/message.go
@@ -17,7 +17,16 @@
 type Message interface{ message() }
 
 // Fleet is the list of the workers of the group.
-type Fleet struct{ Workers []worker.Worker }
+type Fleet struct {
+	Workers  []worker.Worker
+	Unlisted []Unlisted // whose entries have disappeared lately
+}
+
+// Unlisted is a worker whose entry has disappeared: it may be gone, or cut off from the store and still at work.
+type Unlisted struct {
+	worker.Worker
+	For time.Duration
+}
 
 // Submit asks to run a job.
 type Submit struct {
--- a/placement/node.go
+++ b/placement/node.go
@@ -29,9 +29,9 @@
 }
 
 // takeFleet brings the nodes in line with the list.
-func (p *Pool) takeFleet(list []worker.Worker) {
+func (p *Pool) takeFleet(m Fleet) {
 	listed := map[string]bool{}
-	for _, w := range list {
+	for _, w := range m.Workers {
 		listed[w.ID] = true
 		n := p.nodes[w.ID]
 		if n != nil && n.Address == w.Address && (w.Born == 0 || n.born == 0 || w.Born == n.born) {
@@ -46,9 +46,17 @@
 		if n != nil {
 			p.loseAll(n, "listed as another incarnation")
 		}
-		p.nodes[w.ID] = &node{Worker: w, born: w.Born, free: w.Capacity, runs: map[string]*run{}, health: health{pace: 1}}
+		p.nodes[w.ID] = newNode(w)
 		p.note("worker-added", "", w.ID, "listed", nil)
 	}
+	for _, w := range m.Unlisted {
+		if p.nodes[w.ID] == nil && w.For < p.rules.RemovalGrace {
+			n := newNode(w.Worker)
+			n.removed = p.now.Add(-w.For)
+			p.nodes[w.ID], listed[w.ID] = n, true
+			p.note("worker-added", "", w.ID, "no longer listed, may still be at work", map[string]int64{"unlisted-ms": ms(w.For)})
+		}
+	}
 	for id, n := range p.nodes {
 		if !listed[id] && n.removed.IsZero() {
 			n.removed = p.now
@@ -58,6 +66,10 @@
 	p.sortNodes()
 }
 
+func newNode(w worker.Worker) *node {
+	return &node{Worker: w, born: w.Born, free: w.Capacity, runs: map[string]*run{}, health: health{pace: 1}}
+}
+
 func (p *Pool) sortNodes() {
 	p.order = p.order[:0]
 	for _, n := range p.nodes {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -57,7 +57,7 @@
 	p.now = now
 	switch m := message.(type) {
 	case Fleet:
-		p.takeFleet(m.Workers)
+		p.takeFleet(m)
 	case Submit:
 		p.submit(m)
 	case Withdraw:
