Start a task again only when an earlier holder's run of it is gone

Ruled out: a wrong fence (rejected by the workers), clocks. Change: a found run is kept until its worker lists it no more, and its task waits for that; a VM that was outranked waits a second for the new record before it claims again. Processes end within the grace: calls to the store that cannot be interrupted no longer hold the exit up. Groups are not claimed before the holders are known.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,17 +34,18 @@
 	nextLink    atomic.Uint64
 	nextRequest atomic.Uint64
 
-	mu      sync.Mutex
-	links   map[string]*link
-	inbound map[*peer.Conn]uint64
-	drivers map[string]*driver
-	pending map[uint64]chan peer.Verdict
-	active  map[string]*activeJob // by job id
-	asked   map[string]bool       // groups that a stopping holder has offered
-	claimed map[string]time.Time  // last claim by group
-	loads   map[string]map[string]placement.Load
-	seen    map[string]time.Time // since when a group without a holder is known
-	kick    chan struct{}
+	mu        sync.Mutex
+	links     map[string]*link
+	inbound   map[*peer.Conn]uint64
+	drivers   map[string]*driver
+	pending   map[uint64]chan peer.Verdict
+	active    map[string]*activeJob // by job id
+	asked     map[string]bool       // groups that a stopping holder has offered
+	claimed   map[string]time.Time  // last claim by group
+	outranked map[string]outranked  // by group
+	loads     map[string]map[string]placement.Load
+	seen      map[string]time.Time // since when a group without a holder is known
+	kick      chan struct{}
 }
 
 // New returns a Gateway that does not run yet.
@@ -58,7 +59,7 @@
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
 		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]bool{},
-		claimed: map[string]time.Time{}, loads: map[string]map[string]placement.Load{}, seen: map[string]time.Time{},
+		claimed: map[string]time.Time{}, outranked: map[string]outranked{}, loads: map[string]map[string]placement.Load{}, seen: map[string]time.Time{},
 		kick: make(chan struct{}, 1),
 	}
 }
@@ -93,11 +94,28 @@
 	g.background(work, g.tickDrivers)
 	err = servers.run(ctx, work, g)
 	cancel()
-	_ = g.tasks.Wait() // its functions return no error
+	g.awaitTasks()
 	g.log.Info().Str("event", "stopped").Int64("requests", g.requests.Load()).Msg("stopped")
 	return err
 }
 
+// tasksEnd bounds the wait for background work at the end. A call that waits for an answer of the store cannot be
+// interrupted, and nothing depends on it any more.
+const tasksEnd = 100 * time.Millisecond
+
+func (g *Gateway) awaitTasks() {
+	ended := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(ended)
+		return g.tasks.Wait()
+	})
+	select {
+	case <-ended:
+	case <-time.After(tasksEnd):
+	}
+}
+
 func (g *Gateway) background(ctx context.Context, f func(context.Context)) {
 	g.tasks.Go(func() error {
 		f(ctx)
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -46,6 +46,9 @@
 func (g *Gateway) groups() []string {
 	g.view.mu.Lock()
 	defer g.view.mu.Unlock()
+	if !g.view.ownRead {
+		return nil // a group may have a holder that is not known yet
+	}
 	set := map[string]bool{}
 	for _, w := range g.view.workers {
 		set[w.Zone] = true
@@ -202,19 +205,36 @@
 	fence := record.revision * fenceStep
 	g.mu.Lock()
 	d := g.drivers[group]
+	if d != nil && d.lostFence() {
+		delete(g.drivers, group)
+		g.outranked[group] = outranked{fence: d.fenceNow(), at: time.Now()}
+		d = nil
+	}
+	lost := g.outranked[group]
 	g.mu.Unlock()
 	switch {
+	case d == nil && fence <= lost.fence:
+		// The record of the VM with the higher fence is on its way. If there is none, that VM held the group without the
+		// store's confirmation and is gone again, and a new record outranks it.
+		if time.Since(lost.at) > outrankedTime && !g.stopping.Load() {
+			g.take(ctx, group, record, "a higher fence was used")
+		}
 	case d == nil:
 		g.startDriver(ctx, group, fence, false)
-	case d.lostFence():
-		// Another VM has used a higher fence without the store's confirmation; a new record outranks it.
-		g.dropDriver(d)
-		g.take(ctx, group, record, "a higher fence was used")
 	case d.fenceNow() < fence:
 		d.raise(ctx, fence)
 	}
 }
 
+// outranked notes that workers have rejected a fence of this VM.
+type outranked struct {
+	fence int64
+	at    time.Time
+}
+
+// outrankedTime is the time in which the record of a higher fence reaches this VM, also while the store is slow.
+const outrankedTime = time.Second
+
 func (g *Gateway) startDriver(ctx context.Context, group string, fence int64, unconfirmed bool) {
 	rules := g.config.Rules
 	rules.LeaseTime = g.settings.LeaseTime
@@ -231,6 +251,7 @@
 	g.view.poke()
 }
 
+// dropDriver forgets a pool.
 func (g *Gateway) dropDriver(d *driver) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -72,6 +72,7 @@
 	holders       map[string]holderRecord
 	changed       chan struct{} // closed by the next change
 	lost          bool          // the store does not answer
+	ownRead       bool          // the holders of groups are known
 }
 
 func newView(codec Codec, log zerolog.Logger) *view {
@@ -164,6 +165,9 @@
 		}
 	}
 	part.revision = snapshot.Revision
+	if part.name == ownPrefix {
+		v.ownRead = true
+	}
 	v.revision = max(v.revision, snapshot.Revision)
 	v.signal()
 	return nil
@@ -286,6 +290,7 @@
 		v.putConfiguration(c.Configuration, c.Revision)
 	}
 	if c.KeysRevision > v.revision {
+		v.ownRead = true
 		for key, value := range c.Keys {
 			v.put(store.Item{Key: key, Value: value, Revision: c.Revisions[key]})
 		}
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -25,7 +25,7 @@
 		return p.refusal("no worker takes work", p.rules.MinRefusalWait), false
 	}
 	late := p.now.Add(wait).Sub(b.objective)
-	if late > 0 {
+	if late > 0 && !p.roomNow(b) {
 		v := p.refusal("the job would not end on time", late)
 		p.note("job-refused", b.work.ID, "", "would not end on time", map[string]int64{
 			"predicted-ms": ms(wait), "late-ms": ms(late), "priority": int64(b.policy.Priority), "queued": int64(len(p.queue)),
@@ -35,6 +35,19 @@
 	return nil, true
 }
 
+// roomNow says whether the job may start at once without delaying another one: late is better than never then.
+func (p *Pool) roomNow(b *batch) bool {
+	if len(p.queue) > 0 || len(b.work.Steps) == 0 {
+		return false
+	}
+	for _, n := range p.order {
+		if p.open(n) && p.allowed(b, 0, n) && b.work.Steps[0].Need.Fits(n.free) {
+			return true
+		}
+	}
+	return false
+}
+
 // possible says whether some worker of the group could ever run the step.
 func (p *Pool) possible(b *batch, i int) bool {
 	for _, n := range p.order {
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -1,12 +1,18 @@
 package placement
 
-import "time"
+import (
+	"sort"
+	"time"
+
+	"samphireplank.example/samphireplank/worker"
+)
 
 // found is a run of an earlier holder that a worker has listed.
 type found struct {
 	node   *node
 	number int
 	done   bool
+	ending bool      // it is being stopped; its task may start again when it is gone
 	until  time.Time // when it is stopped if no entry VM has resumed its job
 }
 
@@ -27,7 +33,7 @@
 // resume connects a run of an earlier holder with the job that it belongs to.
 func (p *Pool) resume(name string) {
 	f, ok := p.found[name]
-	if !ok {
+	if !ok || f.ending {
 		return
 	}
 	b, i, j := p.locate(name)
@@ -56,20 +62,63 @@
 	p.tasks[name] = r
 }
 
-// endAdoption lets the runs of an earlier holder be stopped that no entry VM has resumed.
+// endAdoption stops the runs of an earlier holder that no entry VM has resumed.
 func (p *Pool) endAdoption() {
 	left := 0
-	for name, f := range p.found {
-		if !p.now.Before(f.until) {
+	for _, name := range sortedNames(p.found) {
+		f := p.found[name]
+		if f.ending || p.now.Before(f.until) {
+			continue
+		}
+		left++
+		if f.done {
 			delete(p.found, name)
-			left++
+			continue
 		}
+		p.endFound(name, f)
 	}
 	if left > 0 {
 		p.note("adoption-ended", "", "", "runs of the earlier holder were not resumed", map[string]int64{"runs": int64(left)})
 	}
 }
 
+// endFound stops a run that is not of this pool; its task must not start again before its worker lists it no more.
+func (p *Pool) endFound(name string, f found) {
+	f.ending = true
+	p.found[name] = f
+	p.emit(Stop{worker.StopOrder{Target: target(f.node), Run: worker.Run{Task: name, Number: f.number}, Fence: p.fence}})
+}
+
+// takeForeign takes in the listed runs of a worker that are not of this pool.
+func (p *Pool) takeForeign(n *node, listed []worker.Running) {
+	present := map[string]bool{}
+	for _, r := range listed {
+		present[r.Task] = true
+		f, known := p.found[r.Task]
+		switch {
+		case !known || f.node != n || f.number != r.Number:
+			p.endFound(r.Task, found{node: n, number: r.Number})
+		case f.ending:
+			p.endFound(r.Task, f)
+		}
+	}
+	for name, f := range p.found {
+		if f.node == n && !f.done && !present[name] {
+			delete(p.found, name)
+		}
+	}
+	n.foreign = len(listed)
+}
+
+func sortedNames(m map[string]found) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // allSurveyed says whether every worker that an earlier holder may have used has shown what runs on it.
 func (p *Pool) allSurveyed() bool {
 	for _, n := range p.order {
--- a/placement/node.go
+++ b/placement/node.go
@@ -289,20 +289,15 @@
 // takeRunning compares the list of running tasks with the runs that the pool knows.
 func (p *Pool) takeRunning(n *node, m HoldAnswer) {
 	listed := make(map[string]worker.Running, len(m.Report.Running))
-	foreign := 0
+	var foreign []worker.Running
 	for _, r := range m.Report.Running {
-		own := n.runs[r.Task]
-		if own != nil && own.number == r.Number {
+		if own := n.runs[r.Task]; own != nil && own.number == r.Number {
 			listed[r.Task] = r
 			continue
 		}
-		foreign++
-		if f, ok := p.found[r.Task]; ok && !f.done && f.node == n {
-			continue
-		}
-		p.emit(Stop{worker.StopOrder{Target: target(n), Run: r.Run, Fence: p.fence}})
+		foreign = append(foreign, r)
 	}
-	n.foreign = foreign
+	p.takeForeign(n, foreign)
 	for _, r := range n.sortedRuns() {
 		row, running := listed[r.name]
 		switch {
@@ -329,7 +324,7 @@
 
 // lapse gives up the runs of a silent worker whose lease has certainly ended.
 func (p *Pool) lapse(n *node) {
-	if n.errors == 0 || len(n.runs) == 0 || p.now.Before(n.lease) {
+	if n.errors == 0 || len(n.runs)+n.foreign == 0 || p.now.Before(n.lease) {
 		return
 	}
 	p.loseAll(n, "lease lapsed without an answer")
--- a/placement/order.go
+++ b/placement/order.go
@@ -103,7 +103,8 @@
 
 // held says whether a run of the task that this pool did not start may still be alive.
 func (p *Pool) held(b *batch, i, j int) bool {
-	if p.tasks[b.name(i, j)] != nil {
+	name := b.name(i, j)
+	if f, ok := p.found[name]; p.tasks[name] != nil || ok && !f.done {
 		return true
 	}
 	return p.now.Before(b.steps[i].tasks[j].notBefore) && !p.allSurveyed()
