Test the pool against simulated workers, and keep the run that a restarted worker confirms

Cause: a new test, a worker that restarts under its id between two looks: the answer to a start told of the restart, and all its runs were given up, the one just confirmed too, which then ran twice. Ruled out: the fence (the same holder). Change: the confirmed run is kept; the survey after a restart takes own runs in. Tests play a pool against simulated workers on a clock of their own and fail on two runs of a task at a time, a refusal after a start and a second verdict.

--- /dev/null
+++ b/placement/fleet_test.go
@@ -0,0 +1,501 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/worker"
+)
+
+// fleet plays a pool against simulated workers on a clock of its own and checks what must hold after each event.
+type fleet struct {
+	t        testing.TB
+	now      time.Time
+	start    time.Time
+	events   timeline
+	rand     *rand.Rand
+	pool     *Pool
+	pools    int
+	workers  map[string]*simWorker
+	ids      []string
+	alive    map[string]int // runs of a task that are alive, over all workers
+	begun    map[string]bool
+	verdicts map[Key]Verdict
+	jobs     map[Key]*simJob
+	notes    []Note
+	fenced   bool
+	wasted   time.Duration // core time of runs that were not done, in units of one core
+}
+
+type simJob struct {
+	work      job.Work
+	policy    job.Policy
+	sent      time.Time
+	length    time.Duration
+	ended     time.Time
+	objective time.Time
+}
+
+type simRun struct {
+	number int
+	need   worker.Resources
+	began  time.Time
+	length time.Duration
+	fails  bool
+	token  int
+}
+
+type simWorker struct {
+	worker.Worker
+	pace     float64
+	fence    int64
+	runs     map[string]*simRun
+	highest  map[string]int // run numbers that ended or were stopped here
+	ended    []worker.End
+	sequence int64
+	lease    time.Duration
+	offset   time.Duration // of its clock
+	dark     bool          // neither hears nor answers
+	mute     bool          // hears, but its answers are lost
+	stuck    bool          // its runs make no progress
+	failing  bool
+	late     float64 // share of starts that are carried out seconds later, without an answer
+	waiting  func()
+	token    int
+}
+
+const (
+	simHop     = 300 * time.Microsecond
+	simTimeout = 100 * time.Millisecond
+)
+
+type simEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type timeline struct {
+	list []simEvent
+	next int
+}
+
+func (l *timeline) Len() int { return len(l.list) }
+func (l *timeline) Less(i, j int) bool {
+	if !l.list[i].at.Equal(l.list[j].at) {
+		return l.list[i].at.Before(l.list[j].at)
+	}
+	return l.list[i].order < l.list[j].order
+}
+func (l *timeline) Swap(i, j int) { l.list[i], l.list[j] = l.list[j], l.list[i] }
+func (l *timeline) Push(x any)    { l.list = append(l.list, x.(simEvent)) }
+func (l *timeline) Pop() any {
+	x := l.list[len(l.list)-1]
+	l.list = l.list[:len(l.list)-1]
+	return x
+}
+
+// newFleet returns workers of 64 and 96 cores under a fresh pool.
+func newFleet(t testing.TB, seed uint64, count int) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		workers: map[string]*simWorker{}, alive: map[string]int{}, begun: map[string]bool{},
+		verdicts: map[Key]Verdict{}, jobs: map[Key]*simJob{},
+	}
+	f.start = f.now
+	paces := []float64{1.25, 1, 0.8}
+	for i := range count {
+		cores := 64000
+		if i%3 == 2 {
+			cores = 96000
+		}
+		id := fmt.Sprintf("w%02d", i)
+		f.workers[id] = &simWorker{
+			Worker: worker.Worker{
+				ID: id, Service: "cue", Address: id + ":1", Zone: "a", Born: 1,
+				Capacity: worker.Resources{MilliCores: cores, MemoryMiB: 1 << 18}, Labels: []string{"a", "r1"},
+			},
+			pace: paces[(i/3)%3], runs: map[string]*simRun{}, highest: map[string]int{}, offset: time.Duration(i) * time.Second,
+		}
+		f.ids = append(f.ids, id)
+	}
+	f.newPool()
+	return f
+}
+
+// newPool replaces the holder by another one with a higher fence.
+func (f *fleet) newPool() {
+	f.pools++
+	f.fenced = false
+	f.pool = New(Config{Fence: int64(f.pools), Rules: DefaultRules()})
+	f.step(f.pool, f.list())
+	f.tick(f.pool)
+}
+
+func (f *fleet) list() Fleet {
+	var m Fleet
+	for _, id := range f.ids {
+		m.Workers = append(m.Workers, f.workers[id].Worker)
+	}
+	return m
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.events.next++
+	heap.Push(&f.events, simEvent{f.now.Add(d), f.events.next, do})
+}
+
+// run plays until the time since the start.
+func (f *fleet) run(until time.Duration) {
+	end := f.start.Add(until)
+	for f.events.Len() > 0 && !f.events.list[0].at.After(end) {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+func (f *fleet) tick(p *Pool) {
+	f.after(50*time.Millisecond, func() {
+		if p != f.pool {
+			return
+		}
+		f.step(p, Tick{})
+		f.tick(p)
+	})
+}
+
+func (f *fleet) step(p *Pool, m Message) {
+	for _, e := range p.Step(f.now, m) {
+		f.carryOut(p, e)
+	}
+}
+
+func (f *fleet) carryOut(p *Pool, e Effect) {
+	switch e := e.(type) {
+	case Start:
+		sent := f.now
+		f.call(e.Order.ID, simTimeout, true,
+			func(w *simWorker) (worker.Report, error) { return f.startOn(w, e.Order) },
+			func(r worker.Report, err error) {
+				f.step(p, StartAnswer{Order: e.Order, Sent: sent, Report: r, Err: err})
+			})
+	case Stop:
+		f.call(e.Order.ID, simTimeout, false,
+			func(w *simWorker) (worker.Report, error) { return f.stopOn(w, e.Order) },
+			func(r worker.Report, err error) { f.step(p, StopAnswer{Order: e.Order, Report: r, Err: err}) })
+	case Hold:
+		f.hold(p, e.Order)
+	case Answer:
+		if old, ok := f.verdicts[e.Key]; ok {
+			f.t.Fatalf("job %v got two verdicts: %T and %T", e.Key, old, e.Verdict)
+		}
+		f.verdicts[e.Key] = e.Verdict
+		if j := f.jobs[e.Key]; j != nil {
+			j.ended = f.now
+			if _, refused := e.Verdict.(NotRun); refused && f.begun[j.work.ID] {
+				f.t.Fatalf("job %s was refused as not run after a task had started", j.work.ID)
+			}
+		}
+	case Fenced:
+		f.fenced = true
+	case Note:
+		f.notes = append(f.notes, e)
+	}
+}
+
+type openError struct{}
+
+func (openError) Error() string { return "no answer" }
+
+// call plays an order to a worker: its way there, and the answer's way back unless one of them is lost.
+func (f *fleet) call(id string, timeout time.Duration, start bool, do func(*simWorker) (worker.Report, error), answer func(worker.Report, error)) {
+	w := f.workers[id]
+	done := false
+	finish := func(r worker.Report, err error) {
+		if !done {
+			done = true
+			answer(r, err)
+		}
+	}
+	f.after(timeout, func() { finish(worker.Report{}, openError{}) })
+	if w == nil || w.dark {
+		return
+	}
+	if start && f.rand.Float64() < w.late {
+		f.after(time.Duration(2+f.rand.IntN(10))*time.Second, func() { _, _ = do(w) })
+		return
+	}
+	f.after(simHop, func() {
+		if w.dark {
+			return
+		}
+		r, err := do(w)
+		if w.mute {
+			return
+		}
+		f.after(simHop, func() { finish(r, err) })
+	})
+}
+
+func (f *fleet) clock(w *simWorker) time.Duration { return f.now.Sub(f.start) + time.Hour + w.offset }
+
+func (f *fleet) report(w *simWorker) worker.Report {
+	return worker.Report{Clock: f.clock(w).Truncate(time.Millisecond), Born: w.Born}
+}
+
+func (f *fleet) reject(w *simWorker, reason worker.Reason) (worker.Report, error) {
+	r := f.report(w)
+	return r, &worker.RejectedError{Reason: reason, Report: r}
+}
+
+func (f *fleet) startOn(w *simWorker, o worker.StartOrder) (worker.Report, error) {
+	if o.Fence < w.fence {
+		return f.reject(w, worker.ReasonFence)
+	}
+	w.fence = o.Fence
+	if old := w.runs[o.Task]; old != nil && old.number == o.Number {
+		f.extend(w, o.Lease)
+		return f.report(w), nil
+	}
+	if o.Number <= w.highest[o.Task] {
+		return f.reject(w, worker.ReasonOld)
+	}
+	if o.Lease <= f.clock(w) {
+		return f.reject(w, worker.ReasonLate)
+	}
+	f.extend(w, o.Lease)
+	j, need := f.jobOf(o.Task)
+	if j == nil {
+		f.t.Fatalf("task %s was never asked for", o.Task)
+	}
+	free := w.Capacity
+	for _, r := range w.runs {
+		free = free.Minus(r.need)
+	}
+	if !need.Fits(free) {
+		return f.reject(w, worker.ReasonRoom)
+	}
+	if f.alive[o.Task] > 0 {
+		f.t.Fatalf("%v: two runs of task %s at a time", f.now.Sub(f.start), o.Task)
+	}
+	f.alive[o.Task]++
+	f.begun[j.work.ID] = true
+	w.token++
+	r := &simRun{number: o.Number, need: need, began: f.now, length: time.Duration(float64(j.length) * w.pace), fails: w.failing, token: w.token}
+	w.runs[o.Task] = r
+	if !w.stuck {
+		f.after(r.length, func() {
+			if w.runs[o.Task] == r && r.token == w.token || w.runs[o.Task] == r {
+				outcome := worker.Done
+				if r.fails {
+					outcome = worker.Failed
+				}
+				f.end(w, o.Task, outcome)
+			}
+		})
+	}
+	return f.report(w), nil
+}
+
+func (f *fleet) jobOf(task string) (*simJob, worker.Resources) {
+	id, step, _, ok := job.ParseTaskName(task)
+	if !ok {
+		return nil, worker.Resources{}
+	}
+	for _, j := range f.jobs {
+		if j.work.ID == id {
+			return j, j.work.Steps[step].Need
+		}
+	}
+	return nil, worker.Resources{}
+}
+
+func (f *fleet) end(w *simWorker, task string, outcome worker.Outcome) {
+	r := w.runs[task]
+	delete(w.runs, task)
+	f.alive[task]--
+	w.sequence++
+	w.highest[task] = max(w.highest[task], r.number)
+	if outcome != worker.Done {
+		f.wasted += f.now.Sub(r.began) * time.Duration(r.need.MilliCores) / 1000
+	}
+	w.ended = append(w.ended, worker.End{Sequence: w.sequence, Run: worker.Run{Task: task, Number: r.number}, Outcome: outcome})
+	if w.waiting != nil {
+		w.waiting()
+	}
+}
+
+func (f *fleet) extend(w *simWorker, lease time.Duration) {
+	most := f.clock(w) + time.Second
+	w.lease = max(w.lease, min(lease, most))
+	f.after(w.lease-f.clock(w), func() { f.lapse(w) })
+}
+
+func (f *fleet) lapse(w *simWorker) {
+	if f.clock(w) < w.lease {
+		return
+	}
+	tasks := make([]string, 0, len(w.runs))
+	for task := range w.runs {
+		tasks = append(tasks, task)
+	}
+	sort.Strings(tasks)
+	for _, task := range tasks {
+		f.end(w, task, worker.Lapsed)
+	}
+}
+
+// crash loses everything that runs on a worker; it comes back with a new incarnation.
+func (f *fleet) crash(w *simWorker) {
+	for task := range w.runs {
+		f.alive[task]--
+	}
+	clear(w.runs)
+	w.ended, w.sequence, w.fence, w.lease = nil, 0, 0, 0
+	clear(w.highest)
+	w.Born++
+	w.token++
+}
+
+func (f *fleet) stopOn(w *simWorker, o worker.StopOrder) (worker.Report, error) {
+	if o.Fence < w.fence {
+		return f.reject(w, worker.ReasonFence)
+	}
+	w.fence = o.Fence
+	w.highest[o.Task] = max(w.highest[o.Task], o.Number)
+	if r := w.runs[o.Task]; r != nil && r.number == o.Number {
+		f.after(time.Duration(f.rand.IntN(50))*time.Millisecond, func() {
+			if w.runs[o.Task] == r {
+				f.end(w, o.Task, worker.Stopped)
+			}
+		})
+	}
+	return f.report(w), nil
+}
+
+func (f *fleet) hold(p *Pool, o worker.HoldOrder) {
+	sent := f.now
+	w := f.workers[o.ID]
+	done := false
+	finish := func(r worker.Report, err error) {
+		if !done {
+			done = true
+			f.step(p, HoldAnswer{Order: o, Sent: sent, Report: r, Err: err})
+		}
+	}
+	f.after(o.Wait+simTimeout, func() { finish(worker.Report{}, openError{}) })
+	if w == nil || w.dark {
+		return
+	}
+	f.after(simHop, func() {
+		if w.dark {
+			return
+		}
+		if o.Fence < w.fence {
+			if !w.mute {
+				f.after(simHop, func() { finish(f.reject(w, worker.ReasonFence)) })
+			}
+			return
+		}
+		w.fence = o.Fence
+		if o.Lease > 0 {
+			f.extend(w, o.Lease)
+		}
+		for len(w.ended) > 0 && w.ended[0].Sequence <= o.Acknowledged {
+			w.ended = w.ended[1:]
+		}
+		replied := false
+		reply := func() {
+			if replied {
+				return
+			}
+			replied = true
+			w.waiting = nil
+			r := f.report(w)
+			r.Ended = append([]worker.End(nil), w.ended...)
+			for task, run := range w.runs {
+				progress := 0
+				if !w.stuck {
+					progress = int(100 * f.now.Sub(run.began) / max(run.length, 1))
+				}
+				r.Running = append(r.Running, worker.Running{Run: worker.Run{Task: task, Number: run.number}, Progress: progress})
+			}
+			sort.Slice(r.Running, func(i, j int) bool { return r.Running[i].Task < r.Running[j].Task })
+			if !w.mute && !w.dark {
+				f.after(simHop, func() { finish(r, nil) })
+			}
+		}
+		if o.Wait == 0 || len(w.ended) > 0 {
+			reply()
+			return
+		}
+		w.waiting = reply
+		f.after(o.Wait, reply)
+	})
+}
+
+// simClass is a kind of job of a load.
+type simClass struct {
+	route    string
+	priority int
+	width    int
+	length   time.Duration
+	cores    int // thousandths
+	attempts int
+	worth    float64
+}
+
+// The kinds of jobs of the users' standard days.
+var (
+	knot  = simClass{"knot", 0, 8, 60 * time.Millisecond, 27000, 4, 0.0291}
+	grain = simClass{"grain", 2, 4, 900 * time.Millisecond, 27000, 2, 0.16}
+	quote = simClass{"quote", 1, 2, 200 * time.Millisecond, 27000, 2, 0.01}
+)
+
+var simSequence uint64
+
+// submit hands a job to the pool; its length is off from what it declares.
+func (f *fleet) submit(c simClass) Key {
+	simSequence++
+	key := Key{Sequence: simSequence}
+	w := job.Work{ID: fmt.Sprintf("%016x", simSequence), Spec: "s", BestEffort: true}
+	length := time.Duration(float64(c.length) * spread(f.rand, 0.4))
+	w.Steps = []job.Step{{
+		Count: max(1, int(float64(c.width)*spread(f.rand, 0.4))), Estimate: time.Duration(float64(length) * spread(f.rand, 0.4)),
+		Need: worker.Resources{MilliCores: min(int(float64(c.cores)*spread(f.rand, 0.2)), 41000), MemoryMiB: 64},
+	}}
+	f.submitWork(key, w, c, length, false, Progress{})
+	return key
+}
+
+func (f *fleet) submitWork(key Key, w job.Work, c simClass, length time.Duration, resumed bool, progress Progress) {
+	p := job.Policy{
+		Route: c.route, Service: "cue", Priority: c.priority, MaxAttempts: c.attempts, Stretch: 1.6, Target: 60 * time.Millisecond,
+	}
+	f.jobs[key] = &simJob{
+		work: w, policy: p, sent: f.now, length: length,
+		objective: f.now.Add(time.Duration(1.6*float64(length)) + 60*time.Millisecond),
+	}
+	f.step(f.pool, Submit{Key: key, Work: w, Policy: p, Budget: 5 * time.Second, Resumed: resumed, Progress: progress})
+}
+
+// spread returns a factor around 1.
+func spread(r *rand.Rand, sigma float64) float64 {
+	return min(max(1+sigma*r.NormFloat64(), 0.3), 2.5)
+}
+
+// load submits jobs of a class at a rate for a time.
+func (f *fleet) load(c simClass, perSecond float64, from, until time.Duration) {
+	at := from
+	for at < until {
+		at += time.Duration(f.rand.ExpFloat64() / perSecond * float64(time.Second))
+		f.after(at-f.now.Sub(f.start), func() { f.submit(c) })
+	}
+}
--- a/placement/node.go
+++ b/placement/node.go
@@ -105,8 +105,9 @@
 	}
 }
 
-// readClock notes what an answer says of the worker's clock and incarnation. It returns false after a restart.
-func (p *Pool) readClock(n *node, report worker.Report) bool {
+// readClock notes what an answer says of the worker's clock and incarnation. It returns false after a restart, by which
+// all runs are lost but the one that the answer confirms, if any.
+func (p *Pool) readClock(n *node, report worker.Report, confirmed *run) bool {
 	n.errors = 0
 	if report.Clock > 0 {
 		n.clock, n.clockAt = report.Clock, p.now
@@ -119,8 +120,14 @@
 	if !known {
 		return true
 	}
+	if confirmed != nil {
+		delete(n.runs, confirmed.name)
+	}
 	p.loseAll(n, "worker restarted")
-	n.surveyed, n.handled, n.acked = false, 0, 0
+	if confirmed != nil {
+		n.runs[confirmed.name] = confirmed
+	}
+	n.surveyed, n.handled, n.acked, n.probeAt = false, 0, 0, p.now
 	return false
 }
 
@@ -209,8 +216,7 @@
 		p.holdFailed(n, m.Order, m.Err)
 		return
 	}
-	if !p.readClock(n, m.Report) {
-		n.probeAt = p.now
+	if !p.readClock(n, m.Report, nil) {
 		return
 	}
 	n.acked = max(n.acked, m.Order.Acknowledged)
@@ -252,12 +258,19 @@
 	until := p.now.Add(p.rules.AdoptionTime)
 	for _, e := range report.Ended {
 		n.handled = max(n.handled, e.Sequence)
+		if own := n.runs[e.Task]; own != nil && own.number == e.Number {
+			p.runEnded(own, e.Outcome)
+			continue
+		}
 		if e.Outcome == worker.Done {
 			p.found[e.Task] = found{node: n, number: e.Number, done: true, until: until}
 			p.resume(e.Task)
 		}
 	}
 	for _, r := range report.Running {
+		if own := n.runs[r.Task]; own != nil && own.number == r.Number {
+			continue
+		}
 		n.foreign++
 		p.found[r.Task] = found{node: n, number: r.Number, until: until}
 		p.resume(r.Task)
--- a/placement/run.go
+++ b/placement/run.go
@@ -68,7 +68,8 @@
 		return
 	}
 	if m.Err == nil {
-		if p.readClock(n, m.Report) && r.confirmed.IsZero() {
+		p.readClock(n, m.Report, r)
+		if r.confirmed.IsZero() {
 			r.confirmed = p.now
 		}
 		return
@@ -83,7 +84,10 @@
 
 func (p *Pool) startRejected(n *node, r *run, reason worker.Reason, m StartAnswer) {
 	if m.Report.Clock > 0 {
-		p.readClock(n, m.Report)
+		p.readClock(n, m.Report, nil)
+		if n.runs[r.name] != r {
+			return // lost with an earlier incarnation
+		}
 	}
 	if r.tries > 1 && reason != worker.ReasonFence {
 		// An earlier try of this start may have been carried out, or may still be; only a list tells.
@@ -159,7 +163,7 @@
 		return
 	}
 	if m.Err == nil {
-		p.readClock(n, m.Report)
+		p.readClock(n, m.Report, nil)
 		if r.confirmed.IsZero() && n.runs[r.name] == r {
 			r.confirmed = p.now // the next list says whether it still runs
 		}
