Divide a zone's workers into groups of 24

Change: the number of groups of a zone is fixed once in the store when its workers have settled; a worker's group follows from its id; each group starts with another VM as its first candidate; VMs choose between equal groups by chance, in proportion to free room, and count on what they have sent since the last summary.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 )
@@ -25,8 +24,8 @@
 
 // State is what a VM knows of a group.
 type State struct {
-	Group    string
 	Zone     string // of the group's workers
+	Index    int    // of the group in its zone
 	Self     VM
 	Record   Record
 	Revision int64 // of the record, 0 if there is none
@@ -109,8 +108,9 @@
 	return VM{}, false
 }
 
-// Candidates returns the VMs that may hold a group: those of its zone if there are any, in their order.
-func Candidates(group, zone string, vms []VM) []VM {
+// Candidates returns the VMs that may hold a group, the best first: those of its zone if there are any. They are ordered
+// by their processor share, and each group of a zone begins with another one, so that the groups spread over the VMs.
+func Candidates(index int, zone string, vms []VM) []VM {
 	var list []VM
 	for _, v := range vms {
 		if v.Zone == zone {
@@ -124,20 +124,18 @@
 		if list[i].Weight != list[j].Weight {
 			return list[i].Weight > list[j].Weight
 		}
-		return hash(group, list[i].Name) < hash(group, list[j].Name)
+		return list[i].Name < list[j].Name
 	})
-	return list
-}
-
-func hash(group, vm string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(group + "\x00" + vm)) // never fails
-	return h.Sum64()
+	if len(list) == 0 {
+		return nil
+	}
+	first := index % len(list)
+	return append(append([]VM(nil), list[first:]...), list[:first]...)
 }
 
 // rankOf returns the number of candidates that are heard and come before this VM, and whether it is in the zone.
 func rankOf(s State) (rank int, local bool) {
-	for _, v := range Candidates(s.Group, s.Zone, append(others(s), s.Self)) {
+	for _, v := range Candidates(s.Index, s.Zone, append(others(s), s.Self)) {
 		if v.Name == s.Self.Name {
 			break
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -33,6 +34,7 @@
 	requests    atomic.Int64 // in progress
 	nextLink    atomic.Uint64
 	nextRequest atomic.Uint64
+	divided     time.Time // last try to write the number of groups; of holdGroups only
 
 	mu        sync.Mutex
 	links     map[string]*link
@@ -46,6 +48,8 @@
 	loads     map[string]map[string]placement.Load
 	seen      map[string]time.Time // since when a group without a holder is known
 	kick      chan struct{}
+	table     map[string]*holder // holders that can be reached, by group ...
+	tableAt   <-chan struct{}    // ... as of the change that closes this channel
 }
 
 // New returns a Gateway that does not run yet.
@@ -232,7 +236,7 @@
 func (g *Gateway) setLoads(group string, loads map[string]placement.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.loads[group] = loads
+	g.loads[group] = maps.Clone(loads) // the original is being sent to other VMs
 }
 
 func (g *Gateway) nudge() {
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -30,6 +30,7 @@
 	defer ticker.Stop()
 	for {
 		changed := g.view.wait()
+		g.divide(ctx)
 		g.decideGroups(ctx)
 		g.updateFleets(ctx)
 		select {
@@ -42,23 +43,18 @@
 	}
 }
 
-// groups returns the zones of all groups; a group is named like its zone.
+// groups returns the names of all groups.
 func (g *Gateway) groups() []string {
 	g.view.mu.Lock()
 	defer g.view.mu.Unlock()
 	if !g.view.ownRead {
 		return nil // a group may have a holder that is not known yet
 	}
-	set := map[string]bool{}
-	for _, w := range g.view.workers {
-		set[w.Zone] = true
-	}
-	for name := range g.view.holders {
-		set[name] = true
-	}
-	list := make([]string, 0, len(set))
-	for name := range set {
-		list = append(list, name)
+	var list []string
+	for zone, s := range g.view.shapes {
+		for i := range s.Groups {
+			list = append(list, groupName(zone, i))
+		}
 	}
 	return list
 }
@@ -119,8 +115,9 @@
 	self := claim.VM{
 		Name: g.settings.VM, Zone: g.settings.Zone, Incarnation: g.self.Incarnation, Weight: g.settings.Weight, Stopping: g.stopping.Load(),
 	}
+	zone, index := splitGroup(group)
 	return claim.State{
-		Group: group, Zone: group, Self: self, Record: record.Record, Revision: record.revision,
+		Index: index, Zone: zone, Self: self, Record: record.Record, Revision: record.revision,
 		Known: now.Sub(g.seen[group]), VMs: vms, Asked: g.asked[group],
 	}, record
 }
@@ -172,11 +169,11 @@
 // holdUnconfirmed takes a group of the own zone whose holder is silent although the store cannot confirm it. The
 // workers' fences keep it safe: the holder with the higher fence has them.
 func (g *Gateway) holdUnconfirmed(ctx context.Context, group string) {
-	if group != g.settings.Zone || !g.view.stale() {
+	if zone, _ := splitGroup(group); zone != g.settings.Zone || !g.view.stale() {
 		return
 	}
 	state, record := g.stateOf(group)
-	candidates := claim.Candidates(group, group, append(state.VMs, state.Self))
+	candidates := claim.Candidates(state.Index, state.Zone, append(others(state), state.Self))
 	fence := record.revision*fenceStep + 1
 	for i, v := range candidates {
 		if v.Name == record.VM && record.VM != g.settings.VM && v.Silent < unconfirmedAfter && v.Incarnation <= record.Incarnation {
@@ -306,7 +303,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for range 2 {
-		for _, v := range claim.Candidates(group, group, state.VMs) {
+		for _, v := range claim.Candidates(state.Index, state.Zone, state.VMs) {
 			l := g.links[v.Name]
 			if l == nil || l.conn == nil || l.stopping || tried[group+v.Name] {
 				continue
@@ -318,3 +315,14 @@
 	}
 	return nil
 }
+
+// others returns the VMs of a state without this one.
+func others(s claim.State) []claim.VM {
+	list := make([]claim.VM, 0, len(s.VMs)+1)
+	for _, v := range s.VMs {
+		if v.Name != s.Self.Name {
+			list = append(list, v)
+		}
+	}
+	return list
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"samphireplank.example/samphireplank/peer"
@@ -163,6 +164,7 @@
 	h.g.mu.Unlock()
 	h.g.log.Warn().Str("event", "link-down").Str("peer", h.l.vm).Err(err).Send()
 	h.g.nudge()
+	h.g.view.poke()
 }
 
 // heard takes in what another VM holds and knows.
@@ -170,13 +172,13 @@
 	if l != nil {
 		g.mu.Lock()
 		l.stopping = m.Stopping
-		before := len(l.holds)
+		before := maps.Clone(l.holds)
 		clear(l.holds)
 		for _, h := range m.Holds {
 			l.holds[h.Group] = h.Fence
 			g.loads[h.Group] = h.Loads
 		}
-		changed := len(l.holds) != before
+		changed := !maps.Equal(l.holds, before)
 		g.mu.Unlock()
 		if changed {
 			g.view.poke()
--- /dev/null
+++ b/gateway/shape.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphireplank.example/samphireplank/store"
+	"samphireplank.example/samphireplank/worker"
+)
+
+const (
+	shapePrefix = ownPrefix + "shapes/"
+	// workersPerGroup is the size of a group that one VM can serve at the peak of the users' load with a fifth of a core,
+	// and that has room for their widest jobs.
+	workersPerGroup = 24
+	// settledTime is the time without a new worker after which the number of groups of a zone is fixed.
+	settledTime = 1500 * time.Millisecond
+)
+
+// shape says into how many groups the workers of a zone are divided. It is written once: a worker must not change its
+// group while holders disagree about it.
+type shape struct {
+	Groups int `json:"groups"`
+}
+
+// groupName returns the name of a group of a zone.
+func groupName(zone string, index int) string { return zone + "#" + strconv.Itoa(index) }
+
+// splitGroup returns the zone and the index of a group.
+func splitGroup(group string) (zone string, index int) {
+	zone, number, _ := strings.Cut(group, "#")
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		return zone, 0 // a group of another version; its zone is all that matters
+	}
+	return zone, index
+}
+
+// groupOf returns the group of a worker; false while its zone is not divided yet.
+func (v *view) groupOf(w worker.Worker) (string, bool) {
+	s := v.shapes[w.Zone]
+	if s.Groups < 1 {
+		return "", false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(w.ID)) // never fails
+	return groupName(w.Zone, int(h.Sum32()%uint32(s.Groups))), true
+}
+
+// divide fixes the number of groups of the own zone when its workers have settled.
+func (g *Gateway) divide(ctx context.Context) {
+	zone := g.settings.Zone
+	g.view.mu.Lock()
+	count := 0
+	for _, w := range g.view.workers {
+		if w.Zone == zone {
+			count++
+		}
+	}
+	done := g.view.shapes[zone].Groups > 0 || !g.view.ownRead || count == 0 || time.Since(g.view.lastWorker) < settledTime
+	g.view.mu.Unlock()
+	if done || time.Since(g.divided) < claimPause {
+		return
+	}
+	g.divided = time.Now()
+	groups := max((count+workersPerGroup/2)/workersPerGroup, 1)
+	value, err := json.Marshal(shape{Groups: groups})
+	if err != nil {
+		g.log.Error().Str("event", "shape").Err(err).Msg("shape cannot be encoded")
+		return
+	}
+	key := shapePrefix + zone
+	g.background(ctx, func(ctx context.Context) {
+		revision, err := g.config.Store.Commit(ctx, store.Transaction{
+			Expect: []store.Condition{{Key: key}}, Set: []store.Item{{Key: key, Value: value}},
+		})
+		if err != nil {
+			g.log.Info().Str("event", "shape").Err(err).Msg("another VM was first, or the store does not answer")
+			return
+		}
+		g.log.Info().Str("event", "shape").Str("zone", zone).Int("groups", groups).Int("workers", count).Send()
+		g.view.write(store.Item{Key: key, Value: value, Revision: revision})
+	})
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"samphireplank.example/samphireplank/job"
@@ -40,8 +41,6 @@
 func (Left) reply()      {}
 
 const (
-	// remoteCost is added to the wait of groups in other zones: two round trips and the hand-over.
-	remoteCost = 10 * time.Millisecond
 	// maxGroups bounds the groups that are asked to take one job.
 	maxGroups = 3
 	// holderWait bounds the wait for a holder before a job is refused that has not started anywhere.
@@ -197,19 +196,20 @@
 
 // hopeless says whether no group that was not asked yet would start the job in time.
 func (g *Gateway) hopeless(r *request) bool {
-	group, holder := g.pick(r)
-	if holder == nil {
-		return true
-	}
-	g.mu.Lock()
-	load, known := g.loads[group][r.Policy.Service]
-	g.mu.Unlock()
 	var longest time.Duration
 	for _, s := range r.Work.Steps {
 		longest = max(longest, s.Estimate)
 	}
 	slack := time.Duration(float64(longest)*(r.Policy.Stretch-1)) + r.Policy.Target - time.Since(r.arrived)
-	return known && waitOf(load, r.Policy.Priority) > slack
+	table := g.holders()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for group := range table {
+		if !r.asked[group] && g.optionOf(group, r).wait <= slack {
+			return false
+		}
+	}
+	return true
 }
 
 func waitOf(l placement.Load, priority int) time.Duration {
@@ -226,8 +226,31 @@
 	lost   chan struct{}
 }
 
-// holderOf returns the holder of a group that can be reached: the one with the highest fence.
-func (g *Gateway) holderOf(group string) *holder {
+// holders returns the groups whose latest holder can be reached. The table is made anew when the view or a link changes.
+func (g *Gateway) holders() map[string]*holder {
+	changed := g.view.wait()
+	g.mu.Lock()
+	table, current := g.table, g.tableAt == changed
+	g.mu.Unlock()
+	if current {
+		return table
+	}
+	table = map[string]*holder{}
+	for _, group := range g.groups() {
+		if h := g.findHolder(group); h != nil {
+			table[group] = h
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table, g.tableAt = table, changed
+	return table
+}
+
+func (g *Gateway) holderOf(group string) *holder { return g.holders()[group] }
+
+// findHolder returns the holder of a group that can be reached: the one with the highest fence.
+func (g *Gateway) findHolder(group string) *holder {
 	g.view.mu.Lock()
 	record := g.view.holders[group]
 	g.view.mu.Unlock()
@@ -265,40 +288,50 @@
 		r.resumed, r.lostAt = false, time.Time{}
 		r.progress = placement.Progress{}
 	}
-	var best string
-	var bestHolder *holder
-	var bestWait time.Duration
-	for _, group := range g.groups() {
-		if r.asked[group] {
-			continue
-		}
-		h := g.holderOf(group)
-		if h == nil {
-			continue
-		}
-		wait := g.waitIn(group, r)
-		if bestHolder == nil || wait < bestWait {
-			best, bestHolder, bestWait = group, h, wait
+	table := g.holders()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	options := make([]option, 0, len(table))
+	for group := range table {
+		if !r.asked[group] {
+			options = append(options, g.optionOf(group, r))
 		}
 	}
-	return best, bestHolder
+	if len(options) == 0 {
+		return "", nil
+	}
+	best := choose(options, g.settings.Zone, rand.Float64())
+	if load, ok := g.loads[best][r.Policy.Service]; ok {
+		// Counts on what this VM has just sent there, until the next summary.
+		load.FreeMilliCores -= r.need()
+		g.loads[best][r.Policy.Service] = load
+	}
+	return best, table[best]
 }
 
-// waitIn estimates how long the job would wait in a group.
-func (g *Gateway) waitIn(group string, r *request) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var wait time.Duration
-	if load, ok := g.loads[group][r.Policy.Service]; ok {
-		wait = waitOf(load, r.Policy.Priority)
-		if load.Workers == 0 {
-			wait += time.Second
-		}
+// optionOf sums up what is known of a group; the caller holds the lock.
+func (g *Gateway) optionOf(group string, r *request) option {
+	zone, _ := splitGroup(group)
+	o := option{group: group, zone: zone}
+	load, known := g.loads[group][r.Policy.Service]
+	if !known {
+		return o
 	}
-	if group != g.settings.Zone {
-		wait += remoteCost
+	o.wait = waitOf(load, r.Policy.Priority)
+	if load.Workers == 0 {
+		o.wait += noWorkerCost
+	}
+	o.spare = float64(load.FreeMilliCores - r.need())
+	return o
+}
+
+// need returns the processor time share of the widest step in thousandths of a core.
+func (r *request) need() int {
+	most := 0
+	for _, s := range r.Work.Steps {
+		most = max(most, s.Count*s.Need.MilliCores)
 	}
-	return wait
+	return most
 }
 
 // awaitHolder waits until a group may be asked; a reply means that there is no point in waiting longer.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -70,16 +70,18 @@
 	unlisted      map[string]unlisted // workers whose entries have disappeared
 	vms           map[string]registration
 	holders       map[string]holderRecord
-	changed       chan struct{} // closed by the next change
-	lost          bool          // the store does not answer
-	ownRead       bool          // the holders of groups are known
+	shapes        map[string]shape // by zone
+	lastWorker    time.Time        // when a worker was last added
+	changed       chan struct{}    // closed by the next change
+	lost          bool             // the store does not answer
+	ownRead       bool             // the holders of groups are known
 }
 
 func newView(codec Codec, log zerolog.Logger) *view {
 	return &view{
 		codec: codec, log: log,
 		items: map[string]store.Item{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlisted{}, vms: map[string]registration{},
-		holders: map[string]holderRecord{}, changed: make(chan struct{}),
+		holders: map[string]holderRecord{}, shapes: map[string]shape{}, changed: make(chan struct{}),
 	}
 }
 
@@ -219,6 +221,9 @@
 			delete(v.workers, key)
 			return
 		}
+		if _, known := v.workers[key]; !known {
+			v.lastWorker = time.Now()
+		}
 		v.workers[key] = w
 		delete(v.unlisted, key)
 	case strings.HasPrefix(key, vmPrefix):
@@ -228,6 +233,13 @@
 			return
 		}
 		v.vms[strings.TrimPrefix(key, vmPrefix)] = r
+	case strings.HasPrefix(key, shapePrefix):
+		var s shape
+		if err := json.Unmarshal(item.Value, &s); err != nil {
+			v.log.Warn().Str("event", "shape-malformed").Str("key", key).Err(err).Msg("shape cannot be read")
+			return
+		}
+		v.shapes[strings.TrimPrefix(key, shapePrefix)] = s
 	case strings.HasPrefix(key, groupPrefix):
 		var r claim.Record
 		if err := json.Unmarshal(item.Value, &r); err != nil {
@@ -338,12 +350,12 @@
 	v.signal()
 }
 
-// fleet returns the workers of a zone and drops the unlisted ones that are of no use any more.
-func (v *view) fleet(zone string, grace time.Duration) (fleet placement.Fleet, known bool) {
+// fleet returns the workers of a group and drops the unlisted ones that are of no use any more.
+func (v *view) fleet(group string, grace time.Duration) (fleet placement.Fleet, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, w := range v.workers {
-		if w.Zone == zone {
+		if of, ok := v.groupOf(w); ok && of == group {
 			fleet.Workers = append(fleet.Workers, w)
 		}
 	}
@@ -353,7 +365,7 @@
 			delete(v.unlisted, key)
 			continue
 		}
-		if w.Zone == zone {
+		if of, ok := v.groupOf(w.Worker); ok && of == group {
 			fleet.Unlisted = append(fleet.Unlisted, placement.Unlisted{Worker: w.Worker, For: since})
 		}
 	}
