--- a/placement/health.go
+++ b/placement/health.go
@@ -92,7 +92,7 @@
 		return
 	}
 	elapsed := p.now.Sub(r.sent)
-	sound := p.expected(r.batch, r.step)
+	sound := p.longest(r.batch, r.step)
 	total := elapsed * time.Duration(100) / time.Duration(max(r.progress, 1))
 	r.judgeAt = p.now.Add(max(sound/4, p.rules.OverdueWait))
 	slow := float64(total) > p.rules.SlowFactor*float64(sound)
@@ -110,10 +110,20 @@
 	p.note("run-moved", r.batch.work.ID, r.node.ID, "progress is far behind the expected time", values)
 	r.node.health.pace = min(max(r.node.health.pace, float64(total)/float64(sound)), maxPace)
 	r.node.health.streak++
+	r.node.health.spell = max(r.node.health.spell, p.rules.StallQuarantine/2)
 	p.quarantine(r.node, "runs make little progress")
 	p.stopRun(r)
 }
 
+// longest returns the run time that a task of the step may well need on a sound worker, since declared times are rough.
+func (p *Pool) longest(b *batch, step int) time.Duration {
+	known, ok := p.durations[b.policy.Route]
+	if !ok {
+		return 2 * b.work.Steps[step].Estimate
+	}
+	return max(p.expected(b, step), b.work.Steps[step].Estimate, time.Duration(known))
+}
+
 // expected returns the expected run time of a task of the step on a sound worker.
 func (p *Pool) expected(b *batch, step int) time.Duration {
 	declared := float64(b.work.Steps[step].Estimate)
