Test the adapter, the claims and the choice of a group

Cause: the adapter and the decisions about groups had no tests. A worker whose entry becomes unreadable is remembered like one whose entry has gone.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,88 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// Guards against groups without a holder, holders that are replaced while they live, and several VMs that claim at once.
+func TestDecide(t *testing.T) {
+	vm := func(name, zone string, silent time.Duration) VM {
+		return VM{Name: name, Zone: zone, Incarnation: 10, Weight: 1, Silent: silent}
+	}
+	three := []VM{vm("vm-1", "a", 0), vm("vm-2", "a", 0), vm("vm-3", "a", 0), vm("vm-9", "b", 0)}
+	silent := func(name string, d time.Duration) []VM {
+		list := append([]VM(nil), three...)
+		for i := range list {
+			if list[i].Name == name {
+				list[i].Silent = d
+			}
+		}
+		return list
+	}
+	restarted := append([]VM(nil), three...)
+	restarted[0].Incarnation = 11
+	stopping := three[1]
+	stopping.Stopping = true
+	held := Record{VM: "vm-1", Incarnation: 10}
+	cases := []struct {
+		name  string
+		state State
+	}{
+		{"no holder, first candidate", State{Self: three[0], VMs: three}},
+		{"no holder, second candidate at once", State{Self: three[1], VMs: three}},
+		{"no holder, second candidate after a delay", State{Self: three[1], VMs: three, Known: 100 * time.Millisecond}},
+		{"no holder, other zone", State{Self: three[3], VMs: three, Known: 5 * time.Second}},
+		{"own record", State{Self: three[0], Record: held, Revision: 7, VMs: three}},
+		{"own record of an earlier start", State{Self: restarted[0], Record: held, Revision: 7, VMs: three}},
+		{"living holder", State{Self: three[1], Record: held, Revision: 7, VMs: three}},
+		{"silent holder, too early", State{Self: three[1], Record: held, Revision: 7, VMs: silent("vm-1", 50*time.Millisecond)}},
+		{"silent holder, first candidate", State{Self: three[1], Record: held, Revision: 7, VMs: silent("vm-1", 100*time.Millisecond)}},
+		{"silent holder, second candidate", State{Self: three[2], Record: held, Revision: 7, VMs: silent("vm-1", 100*time.Millisecond)}},
+		{"silent holder, second candidate later", State{Self: three[2], Record: held, Revision: 7, VMs: silent("vm-1", 200*time.Millisecond)}},
+		{"silent holder, other zone", State{Self: three[3], Record: held, Revision: 7, VMs: silent("vm-1", 6*time.Second)}},
+		{"restarted holder", State{Self: three[1], Record: held, Revision: 7, VMs: restarted}},
+		{"asked by the holder", State{Self: three[2], Record: held, Revision: 7, VMs: three, Asked: true}},
+		{"asked while stopping", State{Self: stopping, Record: held, Revision: 7, VMs: three, Asked: true}},
+		{"holder gone from the list", State{Self: three[1], Record: Record{VM: "vm-0", Incarnation: 1}, Revision: 7, VMs: three, Known: 200 * time.Millisecond}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		c.state.Zone = "a"
+		fmt.Fprintf(&out, "%-42s %#v\n", c.name, Decide(DefaultRules(), c.state))
+	}
+	path := filepath.Join("testdata", "decide.golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(out.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(want) != out.String() {
+		t.Errorf("differs from %s:\n%s", path, out.String())
+	}
+}
+
+// Guards against one VM that holds all groups of a zone while others are idle.
+func TestCandidatesSpread(t *testing.T) {
+	is := is.New(t)
+	vms := []VM{{Name: "vm-1", Zone: "a", Weight: 0.8}, {Name: "vm-2", Zone: "a", Weight: 0.8}, {Name: "vm-3", Zone: "a", Weight: 0.2}}
+	first := map[string]int{}
+	for index := range 6 {
+		first[Candidates(index, "a", vms)[0].Name]++
+	}
+	is.Equal(first, map[string]int{"vm-1": 2, "vm-2": 2, "vm-3": 2})
+	is.Equal(Candidates(0, "a", vms)[0].Name, "vm-1")
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -218,7 +218,7 @@
 		w, err := v.codec.Worker(key, item.Value)
 		if err != nil {
 			v.log.Warn().Str("event", "worker-malformed").Str("key", key).Err(err).Msg("entry names no worker to use")
-			delete(v.workers, key)
+			v.unlist(key)
 			return
 		}
 		if _, known := v.workers[key]; !known {
@@ -270,10 +270,7 @@
 	delete(v.items, key)
 	switch {
 	case strings.HasPrefix(key, v.codec.WorkerPrefix()):
-		if w, ok := v.workers[key]; ok {
-			v.unlisted[key] = unlisted{w, time.Now()}
-			delete(v.workers, key)
-		}
+		v.unlist(key)
 	case strings.HasPrefix(key, vmPrefix):
 		delete(v.vms, strings.TrimPrefix(key, vmPrefix))
 	case strings.HasPrefix(key, groupPrefix):
@@ -281,6 +278,14 @@
 	}
 }
 
+// unlist remembers a worker that is no longer listed for a while.
+func (v *view) unlist(key string) {
+	if w, ok := v.workers[key]; ok {
+		v.unlisted[key] = unlisted{w, time.Now()}
+		delete(v.workers, key)
+	}
+}
+
 // copyFor returns the configuration and the entries of workers for a VM without the store.
 func (v *view) copyFor() peer.Copy {
 	v.mu.Lock()
--- a/placement/order.go
+++ b/placement/order.go
@@ -86,7 +86,7 @@
 			n := p.choose(b, i, t, reserved)
 			if n == nil {
 				if len(reserved) < maxReservations {
-					p.reserve(b, i, t, reserved)
+					p.reserve(b, i, reserved)
 				}
 				if len(t.avoid) == 0 {
 					break // the other tasks of the step find no room either
@@ -188,7 +188,7 @@
 }
 
 // reserve keeps the node that will first have room for the task.
-func (p *Pool) reserve(b *batch, i int, t *task, reserved map[*node]time.Time) {
+func (p *Pool) reserve(b *batch, i int, reserved map[*node]time.Time) {
 	var best *node
 	var bestAt time.Time
 	for _, n := range p.order {
