--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -169,6 +170,8 @@
 
 // supervise keeps the program of a VM running, as the platform does.
 func (c *cluster) supervise(i int) error {
+	runtime.LockOSThread() // the death signal is bound to the thread that starts the process
+	defer runtime.UnlockOSThread()
 	boot := filepath.Join(c.dir, fmt.Sprintf("vm-%d.conf", i))
 	text := fmt.Sprintf("node_name=vm-%d\nip=%s\nzone=%s\nlisten.front=%s\nlisten.ready=%s:8167\ninternal_port_range=7720,7735\n"+
 		"platform.address=%s\nbounds.hold_max_ms=%d\nbounds.grace_s=%d\nlimits.cpu_share=0.4\nseeds=%s:8166\n",
@@ -185,6 +188,8 @@
 	for c.ctx.Err() == nil {
 		cmd := exec.Command(c.program, "serve", "--boot", boot)
 		cmd.Stdout, cmd.Stderr = log, log
+		// A test that is killed leaves no process behind, which would hold the addresses of the next run.
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		p.mu.Lock()
 		if err := cmd.Start(); err != nil {
 			p.mu.Unlock()
