Stop a start that stays without an answer

Ruled out: a silent worker (its holds were answered all the while). Change: after the second try the run is stopped; the answered stop and the next list make its outcome certain. Answers to starts and stops are awaited for 60 ms instead of 100.

--- a/cmd/samphireplank/serve.go
+++ b/cmd/samphireplank/serve.go
@@ -41,7 +41,7 @@
 	g := gateway.New(gateway.Config{
 		Settings: settings,
 		Store:    platform.NewStore(settings.StoreAddress),
-		Workers:  platform.NewWorkers(rules.StartTimeout),
+		Workers:  platform.NewWorkers(rules.StartTimeout, rules.HoldSlack),
 		Codec:    platform.Codec{},
 		Front:    platform.Front,
 		Rules:    rules,
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// Guards against jobs that wait a whole lease for a start whose order was lost, as in incident inc-ff53: a stop that the
+// worker answers makes the outcome certain.
+func TestLostStartIsReplacedSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 2)
+	f.run(20 * time.Millisecond)
+	f.workers["w00"].late, f.workers["w01"].late = 1, 1
+	key := f.oneJob("00000000000000aa", 100*time.Millisecond, false)
+	f.run(130 * time.Millisecond) // both tries are lost
+	f.workers["w00"].late, f.workers["w01"].late = 0, 0
+	f.run(3 * time.Second)
+	_, completed := f.verdicts[key].(Completed)
+	is.True(completed)
+	is.True(f.jobs[key].ended.Sub(f.jobs[key].sent) < 600*time.Millisecond)
+}
+
 // Guards against TWICE on clt-cues trouble-2: a job that is resumed after the adoption window must wait until its run
 // under the earlier holder is gone.
 func TestResumedAfterAdoptionWindow(t *testing.T) {
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -8,7 +8,7 @@
 	ClockDrift      float64       // share by which a worker's clock may be slow, set by the platform
 	HoldWait        time.Duration // longest wait of a hold; the rest of the lease is for two more tries
 	OverdueWait     time.Duration // shortest wait of a hold, while a run is overdue
-	StartTimeout    time.Duration // for the answer to a start or a stop; the network takes 1 to 2 ms
+	StartTimeout    time.Duration // for the answer to a start or a stop; the network takes 1 to 2 ms, and the tasks of urgent jobs 60 ms
 	HoldSlack       time.Duration // for the answer to a hold beyond its wait
 	ProbeInterval   time.Duration // between two holds of a worker that does not answer
 	AckDelay        time.Duration // idle time after which the last ends are acknowledged
@@ -31,7 +31,7 @@
 		ClockDrift:      0.02,
 		HoldWait:        600 * time.Millisecond,
 		OverdueWait:     60 * time.Millisecond,
-		StartTimeout:    100 * time.Millisecond,
+		StartTimeout:    60 * time.Millisecond,
 		HoldSlack:       120 * time.Millisecond,
 		ProbeInterval:   250 * time.Millisecond,
 		AckDelay:        300 * time.Millisecond,
--- a/placement/run.go
+++ b/placement/run.go
@@ -131,12 +131,18 @@
 		n.probeAt = p.now
 	}
 	p.note("start-open", r.batch.work.ID, n.ID, err.Error(), map[string]int64{"run": int64(r.number), "try": int64(r.tries)})
-	if r.tries < maxStartTries && !r.stopping {
+	if r.stopping {
+		return
+	}
+	if r.tries < maxStartTries {
 		p.sendStart(r)
+		return
 	}
+	// An answered stop makes the outcome certain long before the lease of the start has passed.
+	p.stopRun(r)
 }
 
-// maxStartTries bounds the tries of one start on one worker; a worker that answers neither is probed by holds.
+// maxStartTries bounds the tries of one start on one worker; after it the run is stopped.
 const maxStartTries = 2
 
 // stopRun orders a run to stop; it counts until its end is listed.
