Wait for workers that a new holder does not know, and keep offers of groups short

Ruled out: the survey (the workers were not in the list), fences. Change: progress handed over names the worker of each run, and the task waits for that worker; a VM that has known the list for less than the grace of lapsed entries waits for the leases; a VM that was never reached counts as silent after 0.7 s or a failed dial; an offer holds for 1.5 s and only from the present holder. Each verdict carries the holder's load.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -29,7 +29,9 @@
 	mu           sync.Mutex
 	pool         *placement.Pool
 	fenced       bool
-	withoutStore bool                        // the store has not confirmed the holder
+	withoutStore bool // the store has not confirmed the holder
+	summary      map[string]placement.Load
+	summaryAt    time.Time
 	seen         map[string]worker.Resources // size of the last task by service, for the summary of load
 }
 
@@ -71,11 +73,7 @@
 			return nil
 		})
 	case placement.Answer:
-		var loads map[string]placement.Load
-		if _, refused := e.Verdict.(placement.NotRun); refused {
-			loads = d.loads()
-		}
-		d.answer(e.Key, e.Verdict, loads)
+		d.answer(e.Key, e.Verdict, d.loads())
 	case placement.Fenced:
 		d.mu.Lock()
 		d.fenced = true
@@ -103,14 +101,21 @@
 	line.Send()
 }
 
-// loads returns the summaries of the pool by service.
+// loadsTime is the age up to which a summary is used again; making one takes some ten microseconds.
+const loadsTime = 20 * time.Millisecond
+
+// loads returns the summaries of the pool by service; the map is not changed later.
 func (d *driver) loads() map[string]placement.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.summary != nil && time.Since(d.summaryAt) < loadsTime {
+		return d.summary
+	}
 	loads := map[string]placement.Load{}
 	for service, typical := range d.seen {
 		loads[service] = d.pool.Load(service, typical)
 	}
+	d.summary, d.summaryAt = loads, time.Now()
 	return loads
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,7 +42,7 @@
 	drivers   map[string]*driver
 	pending   map[uint64]chan peer.Verdict
 	active    map[string]*activeJob // by job id
-	asked     map[string]bool       // groups that a stopping holder has offered
+	asked     map[string]offer      // groups that a stopping holder has offered
 	claimed   map[string]time.Time  // last claim by group
 	outranked map[string]outranked  // by group
 	loads     map[string]map[string]placement.Load
@@ -62,7 +62,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
-		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]bool{},
+		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]offer{},
 		claimed: map[string]time.Time{}, outranked: map[string]outranked{}, loads: map[string]map[string]placement.Load{}, seen: map[string]time.Time{},
 		kick: make(chan struct{}, 1),
 	}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -107,18 +107,21 @@
 			vms[i].Incarnation = max(vms[i].Incarnation, l.conn.Remote().Incarnation)
 			continue
 		}
-		vms[i].Silent = now.Sub(l.downSince)
+		vms[i].Silent = max(now.Sub(l.downSince), 0)
 	}
 	if _, ok := g.seen[group]; !ok {
 		g.seen[group] = now
 	}
+	asked := g.asked[group]
+	offered := asked.vm != "" && now.Sub(asked.at) < offerTime &&
+		(asked.vm == record.VM || g.links[asked.vm] != nil && g.links[asked.vm].holds[group] > record.revision*fenceStep)
 	self := claim.VM{
 		Name: g.settings.VM, Zone: g.settings.Zone, Incarnation: g.self.Incarnation, Weight: g.settings.Weight, Stopping: g.stopping.Load(),
 	}
 	zone, index := splitGroup(group)
 	return claim.State{
 		Index: index, Zone: zone, Self: self, Record: record.Record, Revision: record.revision,
-		Known: now.Sub(g.seen[group]), VMs: vms, Asked: g.asked[group],
+		Known: now.Sub(g.seen[group]), VMs: vms, Asked: offered,
 	}, record
 }
 
@@ -223,6 +226,15 @@
 	}
 }
 
+// offer notes that a stopping holder has asked this VM to take a group.
+type offer struct {
+	vm string
+	at time.Time
+}
+
+// offerTime is how long an offer holds; the holder asks again, or another VM.
+const offerTime = 1500 * time.Millisecond
+
 // outranked notes that workers have rejected a fence of this VM.
 type outranked struct {
 	fence int64
@@ -238,7 +250,7 @@
 	d := &driver{
 		group: group, fence: fence, withoutStore: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
 		answer: g.reply, meter: g.meter,
-		pool: placement.New(placement.Config{Fence: fence, Rules: rules}), seen: map[string]worker.Resources{},
+		pool: placement.New(placement.Config{Fence: fence, Rules: rules, Partial: g.view.partial(rules.RemovalGrace)}), seen: map[string]worker.Resources{},
 	}
 	g.mu.Lock()
 	g.drivers[group] = d
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -17,6 +17,9 @@
 	linkGrace = 350 * time.Millisecond
 )
 
+// firstContact is the time that a busy VM has to answer a new connection before it counts as silent.
+const firstContact = 700 * time.Millisecond
+
 // link is the connection of this VM to another one, by which it hands over jobs.
 type link struct {
 	vm        string
@@ -111,10 +114,11 @@
 // openLink dials a VM again and again until the link is stopped; the caller holds the lock.
 func (g *Gateway) openLink(ctx context.Context, vm, address string) *link {
 	ctx, stop := context.WithCancel(ctx)
-	l := &link{vm: vm, address: address, downSince: time.Now(), lost: make(chan struct{}), stop: stop, holds: map[string]int64{}}
+	l := &link{vm: vm, address: address, downSince: time.Now().Add(firstContact), lost: make(chan struct{}), stop: stop, holds: map[string]int64{}}
 	g.background(ctx, func(ctx context.Context) {
 		for ctx.Err() == nil {
 			if err := peer.Dial(ctx, address, g.self, outbound{g, l}); err != nil && ctx.Err() == nil {
+				g.dialFailed(l)
 				pause(ctx, redialDelay)
 			}
 		}
@@ -122,6 +126,15 @@
 	return l
 }
 
+// dialFailed counts a VM that was never reached as silent from now on.
+func (g *Gateway) dialFailed(l *link) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now := time.Now(); l.downSince.After(now) {
+		l.downSince = now
+	}
+}
+
 // outbound handles the connection of a link.
 type outbound struct {
 	g *Gateway
@@ -214,7 +227,7 @@
 		h.g.view.take(m)
 	case peer.TakeOver:
 		h.g.mu.Lock()
-		h.g.asked[m.Group] = true
+		h.g.asked[m.Group] = offer{c.Remote().VM, time.Now()}
 		h.g.mu.Unlock()
 		h.g.nudge()
 	}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -164,6 +164,9 @@
 
 // judge turns a verdict into a reply; nil means that another group or holder is to be asked.
 func (g *Gateway) judge(ctx context.Context, r *request, group string, v peer.Verdict) Reply {
+	if v.Loads != nil {
+		g.setLoads(group, v.Loads)
+	}
 	switch v.Kind {
 	case peer.Completed:
 		return Ended{Completed: true}
@@ -183,9 +186,6 @@
 		g.awaitChange(ctx, tickInterval)
 		return nil
 	}
-	if v.Loads != nil {
-		g.setLoads(group, v.Loads)
-	}
 	r.asked[group] = true
 	r.refusal = Refused{Reason: v.Reason, RetryAfter: v.RetryAfter}
 	if len(r.asked) >= maxGroups || g.hopeless(r) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -75,6 +75,7 @@
 	changed       chan struct{}    // closed by the next change
 	lost          bool             // the store does not answer
 	ownRead       bool             // the holders of groups are known
+	workersRead   time.Time        // when the workers were first known
 }
 
 func newView(codec Codec, log zerolog.Logger) *view {
@@ -167,8 +168,11 @@
 		}
 	}
 	part.revision = snapshot.Revision
-	if part.name == ownPrefix {
+	switch {
+	case part.name == ownPrefix:
 		v.ownRead = true
+	case part.name == v.codec.WorkerPrefix() && v.workersRead.IsZero():
+		v.workersRead = time.Now()
 	}
 	v.revision = max(v.revision, snapshot.Revision)
 	v.signal()
@@ -278,6 +282,13 @@
 	}
 }
 
+// partial says whether entries of workers may have lapsed that this VM has never seen.
+func (v *view) partial(grace time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.workersRead.IsZero() || time.Since(v.workersRead) < grace
+}
+
 // unlist remembers a worker that is no longer listed for a while.
 func (v *view) unlist(key string) {
 	if w, ok := v.workers[key]; ok {
--- a/peer/message.go
+++ b/peer/message.go
@@ -69,7 +69,7 @@
 	Reason     string
 	RetryAfter time.Duration
 	Progress   placement.Progress
-	Loads      map[string]placement.Load // of the group, where the verdict is a refusal
+	Loads      map[string]placement.Load // of the group
 }
 
 // TakeOver asks a VM to become the holder of a group, since the present one stops.
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -17,12 +17,12 @@
 }
 
 // adopt takes over the runs of a job that an earlier holder has started.
-func (p *Pool) adopt(b *batch, resumed bool) {
+func (p *Pool) adopt(b *batch, resumed bool, progress Progress) {
 	for i := range b.steps {
 		for j := range b.steps[i].tasks {
 			p.resume(b.name(i, j))
 			t := &b.steps[i].tasks[j]
-			if resumed && t.state == taskWaiting {
+			if resumed && t.state == taskWaiting && (!progress.known() || t.lastSeen != "") {
 				// The earlier holder may have renewed the lease of a worker that is still out of reach until now.
 				t.notBefore = p.now.Add(time.Duration(float64(p.rules.LeaseTime)*(1+p.rules.ClockDrift)) + leaseSlack)
 			}
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -44,21 +44,28 @@
 	runs      int // highest run number
 	failed    int
 	moved     int       // runs given up since their worker was slow
-	notBefore time.Time // an earlier holder's run may be alive until then
+	notBefore time.Time // an earlier holder's run may be alive until then ...
+	lastSeen  string    // ... on this worker, or on any one if empty
 	avoid     []string  // workers on which it failed or stood still
 }
 
 func (b *batch) name(step, index int) string { return job.TaskName(b.work.ID, step, index) }
 
-func (b *batch) progress() Progress {
+// progress sums up the job for the next holder.
+func (b *batch) progress(alive map[string]*run, now time.Time) Progress {
 	p := Progress{}
 	for i := range b.steps {
 		n := len(b.steps[i].tasks)
-		done, failed, runs := make([]bool, n), make([]int, n), make([]int, n)
+		done, failed, runs, on := make([]bool, n), make([]int, n), make([]int, n), make([]string, n)
 		for j, t := range b.steps[i].tasks {
 			done[j], failed[j], runs[j] = t.state == taskDone, t.failed, t.runs
+			if r := alive[b.name(i, j)]; r != nil {
+				on[j] = r.node.ID
+			} else if t.notBefore.After(now) {
+				on[j] = t.lastSeen
+			}
 		}
-		p.Done, p.Failed, p.Runs = append(p.Done, done), append(p.Failed, failed), append(p.Runs, runs)
+		p.Done, p.Failed, p.Runs, p.On = append(p.Done, done), append(p.Failed, failed), append(p.Runs, runs), append(p.On, on)
 	}
 	return p
 }
@@ -70,7 +77,7 @@
 		}
 		for j := range b.steps[i].tasks {
 			t := &b.steps[i].tasks[j]
-			t.failed, t.runs = p.Failed[i][j], p.Runs[i][j]
+			t.failed, t.runs, t.lastSeen = p.Failed[i][j], p.Runs[i][j], p.On[i][j]
 			if p.Done[i][j] {
 				t.state = taskDone
 				b.steps[i].left--
@@ -97,7 +104,7 @@
 	p.jobs[m.Key] = b
 	p.byID[b.work.ID] = b
 	p.unblock(b)
-	p.adopt(b, m.Resumed)
+	p.adopt(b, m.Resumed, m.Progress)
 	if b.left == 0 && !b.closed {
 		p.close(b, Completed{})
 	}
--- a/placement/message.go
+++ b/placement/message.go
@@ -41,11 +41,15 @@
 
 // Progress is what is known of a job that another holder has run.
 type Progress struct {
-	Done   [][]bool // by step and task
-	Failed [][]int  // failed runs by step and task
-	Runs   [][]int  // highest run number by step and task
+	Done   [][]bool   // by step and task
+	Failed [][]int    // failed runs by step and task
+	Runs   [][]int    // highest run number by step and task
+	On     [][]string // worker on which a run of the task may be alive, by step and task
 }
 
+// known says whether the earlier holder has told the progress itself.
+func (p Progress) known() bool { return len(p.Done) > 0 }
+
 // Withdraw ends a submission whose caller no longer waits.
 type Withdraw struct {
 	Key    Key
--- a/placement/order.go
+++ b/placement/order.go
@@ -107,7 +107,15 @@
 	if f, ok := p.found[name]; p.tasks[name] != nil || ok && !f.done {
 		return true
 	}
-	return p.now.Before(b.steps[i].tasks[j].notBefore) && !p.allSurveyed()
+	t := &b.steps[i].tasks[j]
+	if !p.now.Before(t.notBefore) {
+		return false
+	}
+	if t.lastSeen != "" {
+		n := p.nodes[t.lastSeen]
+		return n == nil || !n.surveyed
+	}
+	return p.partial || !p.allSurveyed()
 }
 
 // allowed says whether the step may run on the node at all.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -9,11 +9,14 @@
 type Config struct {
 	Fence int64 // of all orders of this holder
 	Rules Rules
+	// Partial says that the list of workers may lack some that an earlier holder has used and whose entries have lapsed.
+	Partial bool
 }
 
 // Pool is the state of one group of workers under one holder. It is not safe for concurrent use.
 type Pool struct {
 	fence     int64
+	partial   bool
 	rules     Rules
 	now       time.Time
 	began     time.Time
@@ -34,6 +37,7 @@
 func New(config Config) *Pool {
 	return &Pool{
 		fence:     config.Fence,
+		partial:   config.Partial,
 		rules:     config.Rules,
 		nodes:     map[string]*node{},
 		jobs:      map[Key]*batch{},
@@ -142,7 +146,7 @@
 			p.emit(Answer{k, NotRun{Reason: ReasonMoved, RetryAfter: p.rules.MinRefusalWait}})
 			continue
 		}
-		p.emit(Answer{k, Moved{Progress: b.progress()}})
+		p.emit(Answer{k, Moved{Progress: b.progress(p.tasks, p.now)}})
 	}
 	p.jobs = map[Key]*batch{}
 }
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -148,6 +148,43 @@
 	is.Equal(f.wasted, time.Duration(0))
 }
 
+// Guards against TWICE on kuusepuu-blanks-grown trouble-2: a VM that has just started took a group over after a zone cut
+// and did not know the workers whose entries had lapsed.
+func TestHolderDoesNotKnowAWorker(t *testing.T) {
+	is := is.New(t)
+	for _, planned := range []bool{true, false} {
+		f := newFleet(t, 1, 2)
+		f.run(20 * time.Millisecond)
+		first := f.oneJob("00000000000000aa", 900*time.Millisecond, false)
+		f.run(100 * time.Millisecond)
+		var other worker.Worker
+		for _, w := range f.workers {
+			if len(w.runs) == 0 {
+				other = w.Worker
+			}
+		}
+		progress := Progress{}
+		if planned {
+			f.step(f.pool, HandOver{})
+			progress = f.verdicts[first].(Moved).Progress
+		}
+		f.pools++
+		f.pool = New(Config{Fence: int64(f.pools), Rules: DefaultRules(), Partial: !planned})
+		f.listed, f.listedAt = Fleet{Workers: []worker.Worker{other}}, f.now.Add(time.Hour)
+		f.step(f.pool, f.list())
+		f.tick(f.pool)
+		f.run(150 * time.Millisecond)
+		simSequence++
+		key := Key{Sequence: simSequence}
+		j := f.jobs[first]
+		delete(f.jobs, first)
+		f.submitWork(key, j.work, grain, j.length, true, progress)
+		f.run(4 * time.Second)
+		_, completed := f.verdicts[key].(Completed)
+		is.True(completed)
+	}
+}
+
 // Guards against a resumed task that starts again while a worker out of reach may still run it.
 func TestResumedWhileWorkerIsOutOfReach(t *testing.T) {
 	is := is.New(t)
