Keep links to eight neighbours at most

Cause: each VM kept a link to every VM of its zone, which grows with the square of the zone: at a hundred VMs about 1,300 heartbeats a second each. Ruled out: slower heartbeats, by which a silent holder would be found later than the lease of its workers allows. Change: links go to the holders and to the first eight candidates; the delay of a candidate by its rank is bounded.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -133,6 +133,9 @@
 	return append(append([]VM(nil), list[first:]...), list[:first]...)
 }
 
+// maxRank bounds the delay of a candidate whose connections to those before it are not known to be alive.
+const maxRank = 10
+
 // rankOf returns the number of candidates that are heard and come before this VM, and whether it is in the zone.
 func rankOf(s State) (rank int, local bool) {
 	for _, v := range Candidates(s.Index, s.Zone, append(others(s), s.Self)) {
@@ -143,7 +146,7 @@
 			rank++
 		}
 	}
-	return rank, s.Self.Zone == s.Zone
+	return min(rank, maxRank), s.Self.Zone == s.Zone
 }
 
 func others(s State) []VM {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -32,16 +32,18 @@
 	stop      context.CancelFunc
 }
 
-// connect keeps links to the VMs of the own zone and to all holders.
+// neighbourCount is the number of VMs of the own zone that a VM keeps in touch with beside the holders: enough to find a
+// successor for a group, and few enough for zones of a hundred VMs.
+const neighbourCount = 8
+
+// connect keeps links to some VMs of the own zone and to all holders.
 func (g *Gateway) connect(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := g.view.wait()
 		g.view.mu.Lock()
 		wanted := map[string]string{}
-		for name, r := range g.view.vms {
-			if r.Zone == g.settings.Zone {
-				wanted[name] = r.Address
-			}
+		for _, name := range g.view.neighbours(g.settings.Zone) {
+			wanted[name] = g.view.vms[name].Address
 		}
 		for _, h := range g.view.holders {
 			if r, ok := g.view.vms[h.VM]; ok {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -387,3 +387,19 @@
 	}
 	return fleet, len(v.items) > 0
 }
+
+// neighbours returns the first candidates of a zone for holding groups; the caller holds the lock.
+func (v *view) neighbours(zone string) []string {
+	var vms []claim.VM
+	for name, r := range v.vms {
+		if r.Zone == zone {
+			vms = append(vms, claim.VM{Name: name, Zone: zone, Weight: r.Weight})
+		}
+	}
+	list := claim.Candidates(0, zone, vms)
+	names := make([]string, 0, neighbourCount)
+	for _, c := range list[:min(len(list), neighbourCount)] {
+		names = append(names, c.Name)
+	}
+	return names
+}
