Ask for copies of the store's keys seldom

A VM whose store was silent asked each VM for a copy at each heartbeat that told of a newer configuration; 20 copies of 150 KB every 150 ms fill a link of 25 Mbit/s, and the heartbeats starve. Ruled out: processor time (0.04 of a core on average), cuts (none in that time). Change: a copy is asked for when a newer configuration is known for 0.4 s, one VM at a time, once in 0.7 s; without a lost store it holds the configuration alone. TestCatchUpAsksSeldom guards the number of requests.

--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"samphireplank.example/samphireplank/job"
 )
@@ -27,6 +28,27 @@
 	is.Equal(counts["a#1"]+counts["a#2"], 100)
 }
 
+// Guards against a storm of copies when a configuration changes: every VM asked each other one at every heartbeat, which
+// filled the links and silenced the heartbeats (kuusepuu-blanks-grown trouble-1).
+func TestCatchUpAsksSeldom(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop()})
+	now := time.Now()
+	asked := 0
+	for beat := range 40 { // 6 s of heartbeats of 20 VMs with a newer configuration
+		for range 20 {
+			if g.catchUp(7, now.Add(time.Duration(beat)*150*time.Millisecond)) {
+				asked++
+			}
+		}
+	}
+	is.True(asked >= 4)              // the configuration must be in force within 2 s
+	is.True(asked <= 9)              // one in 0.7 s
+	is.True(!g.catchUp(0, now))      // nothing newer
+	g.behindSince, g.newest = now, 7 // only just told of it: the store has its time
+	is.True(!g.catchUp(7, now.Add(100*time.Millisecond)))
+}
+
 // Guards against a request that a shorter prefix or another host takes.
 func TestFindRoute(t *testing.T) {
 	is := is.New(t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,20 +36,23 @@
 	nextRequest atomic.Uint64
 	divided     time.Time // last try to write the number of groups; of holdGroups only
 
-	mu        sync.Mutex
-	links     map[string]*link
-	inbound   map[*peer.Conn]uint64
-	drivers   map[string]*driver
-	pending   map[uint64]chan peer.Verdict
-	active    map[string]*activeJob // by job id
-	asked     map[string]offer      // groups that a stopping holder has offered
-	claimed   map[string]time.Time  // last claim by group
-	outranked map[string]outranked  // by group
-	loads     map[string]map[string]placement.Load
-	seen      map[string]time.Time // since when a group without a holder is known
-	kick      chan struct{}
-	table     map[string]*holder // holders that can be reached, by group ...
-	tableAt   <-chan struct{}    // ... as of the change that closes this channel
+	mu          sync.Mutex
+	links       map[string]*link
+	inbound     map[*peer.Conn]uint64
+	drivers     map[string]*driver
+	pending     map[uint64]chan peer.Verdict
+	active      map[string]*activeJob // by job id
+	asked       map[string]offer      // groups that a stopping holder has offered
+	claimed     map[string]time.Time  // last claim by group
+	outranked   map[string]outranked  // by group
+	loads       map[string]map[string]placement.Load
+	seen        map[string]time.Time // since when a group without a holder is known
+	newest      int64                // configuration of which another VM has told ...
+	behindSince time.Time            // ... and since when this VM has not had it
+	wanted      time.Time            // last request for a copy
+	kick        chan struct{}
+	table       map[string]*holder // holders that can be reached, by group ...
+	tableAt     <-chan struct{}    // ... as of the change that closes this channel
 }
 
 // New returns a Gateway that does not run yet.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -102,7 +102,7 @@
 // asking is the handler of a connection that only asks for a copy.
 type asking struct{ g *Gateway }
 
-func (h asking) Opened(c *peer.Conn) { c.Send(peer.Want{}) }
+func (h asking) Opened(c *peer.Conn) { c.Send(peer.Want{All: true}) }
 
 func (h asking) Received(c *peer.Conn, m peer.Message) {
 	if copied, ok := m.(peer.Copy); ok {
@@ -165,7 +165,7 @@
 	case peer.Copy:
 		h.g.view.take(m)
 	case peer.Want:
-		c.Send(h.g.view.copyFor())
+		c.Send(h.g.view.copyFor(m.All))
 	}
 }
 
@@ -199,11 +199,37 @@
 			g.view.poke()
 		}
 	}
-	if _, own := g.view.current(); m.Configuration > own {
-		c.Send(peer.Want{})
+	if g.catchUp(m.Configuration, time.Now()) {
+		c.Send(peer.Want{All: g.view.stale()})
 	}
 }
 
+const (
+	// behindTime is the time that the store has to deliver a configuration of which another VM has told.
+	behindTime = 400 * time.Millisecond
+	// wantInterval is the time between two requests for a copy. A copy of all keys of 350 workers has 150 KB, and links
+	// carry 3 MB a second; asking every VM at each heartbeat silenced the heartbeats themselves.
+	wantInterval = 700 * time.Millisecond
+)
+
+// catchUp says whether to ask another VM for a copy, since its configuration is newer for a while now.
+func (g *Gateway) catchUp(theirs int64, now time.Time) bool {
+	_, own := g.view.current()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case theirs <= own && own >= g.newest:
+		g.behindSince = time.Time{}
+	case theirs > own && g.behindSince.IsZero():
+		g.behindSince, g.newest = now, theirs
+	}
+	if theirs <= own || now.Sub(g.behindSince) < behindTime || now.Sub(g.wanted) < wantInterval {
+		return false
+	}
+	g.wanted = now
+	return true
+}
+
 // inbound handles the connections that other VMs have opened.
 type inbound struct{ g *Gateway }
 
@@ -224,7 +250,7 @@
 	case peer.Heartbeat:
 		h.g.heard(c, nil, m)
 	case peer.Want:
-		c.Send(h.g.view.copyFor())
+		c.Send(h.g.view.copyFor(m.All))
 	case peer.Copy:
 		h.g.view.take(m)
 	case peer.TakeOver:
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -297,11 +297,15 @@
 	}
 }
 
-// copyFor returns the configuration and the entries of workers for a VM without the store.
-func (v *view) copyFor() peer.Copy {
+// copyFor returns the configuration, and all other keys for a VM without the store.
+func (v *view) copyFor(all bool) peer.Copy {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := peer.Copy{Configuration: v.configRaw, Revision: v.configRev, KeysRevision: v.revision, Keys: map[string][]byte{}, Revisions: map[string]int64{}}
+	c := peer.Copy{Configuration: v.configRaw, Revision: v.configRev}
+	if !all {
+		return c
+	}
+	c.KeysRevision, c.Keys, c.Revisions = v.revision, map[string][]byte{}, map[string]int64{}
 	for key, item := range v.items {
 		if key != v.codec.ConfigurationKey() {
 			c.Keys[key], c.Revisions[key] = item.Value, item.Revision
--- a/peer/message.go
+++ b/peer/message.go
@@ -75,8 +75,8 @@
 // TakeOver asks a VM to become the holder of a group, since the present one stops.
 type TakeOver struct{ Group string }
 
-// Want asks for the configuration and the list of workers, since the store is out of reach.
-type Want struct{}
+// Want asks for the configuration, and for all other keys if the store is out of reach.
+type Want struct{ All bool }
 
 // Copy is a copy of keys of the store.
 type Copy struct {
