--- a/placement/run.go
+++ b/placement/run.go
@@ -57,14 +57,22 @@
 	}})
 }
 
-// startAnswered takes in the answer to a start.
-func (p *Pool) startAnswered(m StartAnswer) {
-	n := p.nodes[m.Order.ID]
+// find returns a run that may be alive, with its node; the run is nil if it is not known any more.
+func (p *Pool) find(id string, of worker.Run) (*node, *run) {
+	n := p.nodes[id]
 	if n == nil {
-		return
+		return nil, nil
 	}
-	r := n.runs[m.Order.Task]
-	if r == nil || r.number != m.Order.Number {
+	if r := n.runs[of.Task]; r != nil && r.number == of.Number {
+		return n, r
+	}
+	return n, nil
+}
+
+// startAnswered takes in the answer to a start.
+func (p *Pool) startAnswered(m StartAnswer) {
+	n, r := p.find(m.Order.ID, m.Order.Run)
+	if r == nil {
 		return
 	}
 	if m.Err == nil {
@@ -160,12 +168,8 @@
 
 // stopAnswered takes in the answer to a stop: a run that had not begun never will.
 func (p *Pool) stopAnswered(m StopAnswer) {
-	n := p.nodes[m.Order.ID]
-	if n == nil {
-		return
-	}
-	r := n.runs[m.Order.Task]
-	if r == nil || r.number != m.Order.Number {
+	n, r := p.find(m.Order.ID, m.Order.Run)
+	if r == nil {
 		return
 	}
 	if m.Err == nil {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -129,14 +129,11 @@
 
 // configure writes a configuration; each version adds a route.
 func (c *cluster) configure(version int) {
-	routes := []map[string]any{{
-		"name": "r-0", "host": "cue.example", "prefix": "/cue/", "kind": "unsafe", "timeout_ms": 4000, "target_duration_ms": 60,
-		"priority": 0, "service": "cue", "max_attempts": 3, "stretch": 1.6,
-	}}
+	routes := []standin.Route{{Name: "r-0", Host: "cue.example", Prefix: "/cue/", Service: "cue", Attempts: 3, Target: 60 * time.Millisecond}}
 	for v := 2; v <= version; v++ {
-		routes = append(routes, map[string]any{"name": fmt.Sprintf("r-%d", v), "host": "cue.example", "prefix": fmt.Sprintf("/added-%d/", v), "service": "cue"})
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("r-%d", v), Host: "cue.example", Prefix: fmt.Sprintf("/added-%d/", v), Service: "cue"})
 	}
-	if _, err := c.keys.Put("op/config", map[string]any{"version": version, "routes": routes}); err != nil {
+	if err := c.keys.Configure(version, routes); err != nil {
 		c.t.Error(err)
 	}
 }
@@ -149,10 +146,10 @@
 		c.mu.Unlock()
 		for i, w := range c.workers {
 			if silent[i] {
-				c.keys.Drop(fmt.Sprintf("servers/i-%d", i))
+				c.keys.Unlist(w)
 				continue
 			}
-			if _, err := c.keys.Put(fmt.Sprintf("servers/i-%d", i), w.Entry("ready", sequence)); err != nil {
+			if err := c.keys.List(w, sequence); err != nil {
 				return err
 			}
 		}
@@ -173,9 +170,10 @@
 	runtime.LockOSThread() // the death signal is bound to the thread that starts the process
 	defer runtime.UnlockOSThread()
 	boot := filepath.Join(c.dir, fmt.Sprintf("vm-%d.conf", i))
-	text := fmt.Sprintf("node_name=vm-%d\nip=%s\nzone=%s\nlisten.front=%s\nlisten.ready=%s:8167\ninternal_port_range=7720,7735\n"+
-		"platform.address=%s\nbounds.hold_max_ms=%d\nbounds.grace_s=%d\nlimits.cpu_share=0.4\nseeds=%s:8166\n",
-		i, c.host(i), zoneOf(i), c.front(i), c.host(i), c.stores[i].address(), leaseMax.Milliseconds(), int(grace.Seconds()), c.host((i+1)%vmCount))
+	text := standin.Boot{
+		VM: fmt.Sprintf("vm-%d", i), Host: c.host(i), Zone: zoneOf(i), Store: c.stores[i].address(), Seed: c.host((i + 1) % vmCount),
+		LeaseMax: leaseMax, Grace: grace,
+	}.Text()
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
 		return err
 	}
--- /dev/null
+++ b/standin/site.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Route is a route of the configuration that Configure writes.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Service  string
+	Attempts int
+	Target   time.Duration
+}
+
+// Configure writes a configuration as the operators do.
+func (k *Keyspace) Configure(version int, routes []Route) error {
+	list := make([]map[string]any, 0, len(routes))
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"name": r.Name, "host": r.Host, "prefix": r.Prefix, "kind": "unsafe", "service": r.Service, "priority": 0,
+			"max_attempts": r.Attempts, "stretch": 1.6, "target_duration_ms": r.Target.Milliseconds(), "timeout_ms": 4000,
+		})
+	}
+	_, err := k.Put("op/config", map[string]any{"version": version, "routes": list})
+	return err
+}
+
+// List writes the entry of a worker, as it does itself.
+func (k *Keyspace) List(w *Worker, sequence int) error {
+	_, err := k.Put("servers/"+w.config.ID, w.Entry("ready", sequence))
+	return err
+}
+
+// Unlist removes the entry of a worker, as the platform does when it is silent.
+func (k *Keyspace) Unlist(w *Worker) { k.Drop("servers/" + w.config.ID) }
+
+// Boot holds what a settings file says of a VM.
+type Boot struct {
+	VM       string
+	Host     string
+	Zone     string
+	Store    string // host:port
+	Seed     string // host
+	LeaseMax time.Duration
+	Grace    time.Duration
+}
+
+// Text returns the settings file.
+func (b Boot) Text() string {
+	return strings.Join([]string{
+		"node_name=" + b.VM, "ip=" + b.Host, "zone=" + b.Zone, "listen.front=" + b.Host + ":8161", "listen.ready=" + b.Host + ":8167",
+		"internal_port_range=7720,7735", "platform.address=" + b.Store, "limits.cpu_share=0.4", "seeds=" + b.Seed + ":8166",
+		fmt.Sprintf("bounds.hold_max_ms=%d", b.LeaseMax.Milliseconds()), fmt.Sprintf("bounds.grace_s=%g", b.Grace.Seconds()), "",
+	}, "\n")
+}
