Warn when clients send again too early, bound bodies, drop an unread field

Cause: reading the change: the time after which clients send again and the configuration's bound on bodies were read and not used, and a message carried a revision that nobody read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,9 @@
 		return errors.Join(err, links.Close())
 	}
 	g.log.Info().Str("event", "start").Str("zone", g.settings.Zone).Str("address", g.settings.CallerAddress).Int64("incarnation", g.self.Incarnation).Msg("started")
+	if margin := g.settings.ResendTime - peer.SilenceTime - linkGrace; margin < resendMargin {
+		g.log.Warn().Str("event", "settings").Int64("margin-ms", margin.Milliseconds()).Msg("clients send again before the tasks of a dead VM are certainly stopped")
+	}
 	g.tasks.Go(func() error {
 		if err := peer.Listen(work, links, g.self, inbound{g}); err != nil {
 			g.log.Error().Str("event", "link-listener").Err(err).Msg("listener for other VMs ended")
@@ -106,6 +109,9 @@
 	return err
 }
 
+// resendMargin is the time for the stop of a task between the withdrawal of a dead VM's jobs and a client's next try.
+const resendMargin = 150 * time.Millisecond
+
 // tasksEnd bounds the wait for background work at the end. A call that waits for an answer of the store cannot be
 // interrupted, and nothing depends on it any more.
 const tasksEnd = 100 * time.Millisecond
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -357,10 +357,9 @@
 // ask hands the job to a holder and waits for the verdict; false means that the holder was lost or the time is over.
 func (g *Gateway) ask(ctx context.Context, r *request, group string, h *holder) (peer.Verdict, bool) {
 	left := time.Until(r.deadline)
-	_, revision := g.view.current()
 	m := peer.Submit{
 		Sequence: g.nextRequest.Add(1), Group: group, Work: r.Work, Policy: r.Policy, Age: time.Since(r.arrived), Budget: left,
-		Resumed: r.resumed, Progress: r.progress, Configuration: revision,
+		Resumed: r.resumed, Progress: r.progress,
 	}
 	answer := make(chan peer.Verdict, 1)
 	g.mu.Lock()
@@ -444,3 +443,12 @@
 func (g *Gateway) Answered(route string, status int, took time.Duration) {
 	g.meter.answered(route, status, took)
 }
+
+// MaxBody returns the largest body of a request in bytes that the configuration allows, 0 for any size.
+func (g *Gateway) MaxBody() int {
+	c, _ := g.view.current()
+	if c == nil {
+		return 0
+	}
+	return c.MaxBody
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -35,15 +35,14 @@
 
 // Submit hands a job to the holder of a group.
 type Submit struct {
-	Sequence      uint64
-	Group         string
-	Work          job.Work
-	Policy        job.Policy
-	Age           time.Duration
-	Budget        time.Duration
-	Resumed       bool
-	Progress      placement.Progress
-	Configuration int64 // revision by which the policy was chosen
+	Sequence uint64
+	Group    string
+	Work     job.Work
+	Policy   job.Policy
+	Age      time.Duration
+	Budget   time.Duration
+	Resumed  bool
+	Progress placement.Progress
 }
 
 // Withdraw takes a job back.
