Start the processes of a soak after their table is complete

Ruled out: a race in the product (the trace names test code only). Change: the table is filled before the first supervisor starts; failures are read under their lock. Check: go test -race ./soak passes.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -112,13 +112,14 @@
 	}
 	c.configure(1)
 	c.group.Go(c.beat)
-	for i := range vmCount {
+	for range vmCount {
 		g, err := newGate(storeAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.stores = append(c.stores, g)
-		c.vms = append(c.vms, &process{})
+		c.stores, c.vms = append(c.stores, g), append(c.vms, &process{})
+	}
+	for i := range vmCount {
 		c.group.Go(func() error { return c.supervise(i) })
 	}
 	t.Cleanup(c.close)
@@ -216,6 +217,13 @@
 	c.fails = append(c.fails, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// failures returns what was found so far.
+func (c *cluster) failures() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.fails...)
+}
+
 // signal sends a signal to the program of a VM.
 func (c *cluster) signal(i int, s syscall.Signal) {
 	p := c.vms[i]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -222,7 +222,7 @@
 			c := startCluster(t)
 			l := c.run(seed, *length)
 			faults, _ := c.watch.Faults()
-			for _, f := range append(faults, c.fails...) {
+			for _, f := range append(faults, c.failures()...) {
 				t.Error(f)
 			}
 			const servedAgain = 0.95 // of the load of a tenth of the capacity, once all faults are over
