Go on draining after a second SIGTERM

The command line restores the default action after the first one. Ruled out: a signal before the handler was installed (the log has the lines start and stopping of that process). Change: serve keeps receiving SIGTERM and ignores further ones; the platform's SIGKILL bounds the stop.

--- a/cmd/samphireplank/serve.go
+++ b/cmd/samphireplank/serve.go
@@ -49,9 +49,10 @@
 		Log:      zerolog.New(out).Level(e.Log.GetLevel()).With().Timestamp().Logger(),
 	})
 	g.CountDropped(dropped.Load)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	// SIGTERM is listed so that a second one does not end a process that is still answering requests.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM)
+	defer signal.Stop(signals)
 	group, ctx := errgroup.WithContext(ctx)
 	done := make(chan struct{})
 	group.Go(func() error {
@@ -59,9 +60,11 @@
 			select {
 			case <-done:
 				return nil
-			case <-hangup:
-				changed, err := platform.ReadSettings(c.Boot)
-				g.Reload(changed, err)
+			case received := <-signals:
+				if received == syscall.SIGHUP {
+					changed, err := platform.ReadSettings(c.Boot)
+					g.Reload(changed, err)
+				}
 			}
 		}
 	})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -210,9 +210,6 @@
 // that end badly, and a system that does not serve again after the faults. A run with a seed is not an exact replay,
 // since the processes race; each seed that ever failed stays in regressionSeeds with its cause.
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes half a minute")
-	}
 	seeds := make([]uint64, 0, *runs+len(regressionSeeds))
 	for i := range *runs {
 		seeds = append(seeds, *firstSeed+uint64(i))
@@ -237,8 +234,24 @@
 	}
 }
 
-// regressionSeeds are the seeds that have failed, with the cause beside them.
-var regressionSeeds = []uint64{}
+// regressionSeeds are the seeds that have failed, with the cause beside them. Seed 1 (entries older than a worker's
+// answers) is the first seed of every run.
+var regressionSeeds = []uint64{
+	103, // a second SIGTERM ended a process that was still answering requests
+}
+
+// Guards against a second order to stop that cuts the requests of a VM that is draining.
+func TestSecondStopOrder(t *testing.T) {
+	c := startCluster(t)
+	time.Sleep(3 * time.Second)
+	c.signal(0, syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	c.signal(0, syscall.SIGTERM)
+	time.Sleep(5 * time.Second) // beyond the drain; its end is checked by the supervisor
+	for _, f := range c.failures() {
+		t.Error(f)
+	}
+}
 
 func (c *cluster) saveLogs(dir string) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
