--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -25,6 +25,7 @@
 	log     zerolog.Logger
 	answer  func(key placement.Key, verdict placement.Verdict, loads map[string]placement.Load)
 	meter   *meter
+	keeper  *keeper
 
 	mu           sync.Mutex
 	pool         *placement.Pool
@@ -74,6 +75,8 @@
 		})
 	case placement.Answer:
 		d.answer(e.Key, e.Verdict, d.loads())
+	case placement.Save:
+		d.keeper.save(e)
 	case placement.Fenced:
 		d.mu.Lock()
 		d.fenced = true
@@ -119,10 +122,17 @@
 	return loads
 }
 
-func (d *driver) waiting(route string) int {
+// waitingJobs returns the numbers of jobs that have not begun, by route.
+func (d *driver) waitingJobs() map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.pool.Waiting(route)
+	return d.pool.Waiting()
+}
+
+func (d *driver) begun(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Begun(id)
 }
 
 func (d *driver) idle() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	requests    atomic.Int64 // in progress
 	nextLink    atomic.Uint64
 	nextRequest atomic.Uint64
+	accepts     accepts
+	finals      finals
 	divided     time.Time // last try to write the number of groups; of holdGroups only
 
 	mu          sync.Mutex
@@ -46,10 +48,11 @@
 	claimed     map[string]time.Time  // last claim by group
 	outranked   map[string]outranked  // by group
 	loads       map[string]map[string]placement.Load
-	seen        map[string]time.Time // since when a group without a holder is known
-	newest      int64                // configuration of which another VM has told ...
-	behindSince time.Time            // ... and since when this VM has not had it
-	wanted      time.Time            // last request for a copy
+	waiting     map[string]map[string]int // jobs that have not begun, by group and route
+	seen        map[string]time.Time      // since when a group without a holder is known
+	newest      int64                     // configuration of which another VM has told ...
+	behindSince time.Time                 // ... and since when this VM has not had it
+	wanted      time.Time                 // last request for a copy
 	kick        chan struct{}
 	table       map[string]*holder // holders that can be reached, by group ...
 	tableAt     <-chan struct{}    // ... as of the change that closes this channel
@@ -63,6 +66,7 @@
 	log := config.Log.With().Str("vm", self.VM).Logger()
 	return &Gateway{
 		config: config, settings: config.Settings, log: log, self: self,
+		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{},
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
 		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]offer{},
@@ -102,6 +106,7 @@
 	g.background(work, g.beat)
 	g.background(work, g.holdGroups)
 	g.background(work, g.tickDrivers)
+	g.background(work, g.followKept)
 	err = servers.run(ctx, work, g)
 	cancel()
 	g.awaitTasks()
@@ -193,12 +198,10 @@
 				continue
 			}
 			loads := d.loads()
-			beat.Holds = append(beat.Holds, peer.Holding{Group: d.group, Fence: d.fenceNow(), Loads: loads})
+			beat.Holds = append(beat.Holds, peer.Holding{Group: d.group, Fence: d.fenceNow(), Loads: loads, Waiting: d.waitingJobs()})
 			g.setLoads(d.group, loads)
 		}
-		for _, c := range g.connections() {
-			c.Send(beat)
-		}
+		g.send(beat)
 	}
 }
 
@@ -242,6 +245,13 @@
 	return list
 }
 
+// send sends a message to all VMs in touch.
+func (g *Gateway) send(m peer.Message) {
+	for _, c := range g.connections() {
+		c.Send(m)
+	}
+}
+
 func (g *Gateway) setLoads(group string, loads map[string]placement.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -247,14 +247,17 @@
 func (g *Gateway) startDriver(ctx context.Context, group string, fence int64, unconfirmed bool) {
 	rules := g.config.Rules
 	rules.LeaseTime = g.settings.LeaseTime
+	config := placement.Config{Fence: fence, Rules: rules, Partial: g.view.partial(rules.RemovalGrace), Restoring: true}
 	d := &driver{
 		group: group, fence: fence, withoutStore: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
 		answer: g.reply, meter: g.meter,
-		pool: placement.New(placement.Config{Fence: fence, Rules: rules, Partial: g.view.partial(rules.RemovalGrace)}), seen: map[string]worker.Resources{},
+		pool: placement.New(config), seen: map[string]worker.Resources{},
 	}
+	d.keeper = newKeeper(g, d)
 	g.mu.Lock()
 	g.drivers[group] = d
 	g.mu.Unlock()
+	g.background(ctx, d.keeper.run)
 	g.log.Info().Str("event", "holding").Str("group", group).Int64("fence", fence).Msg("holds the group")
 	g.updateFleets(ctx)
 	g.view.poke()
--- /dev/null
+++ b/gateway/kept.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/peer"
+	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
+)
+
+// A job that outlives its caller's request is a key of the store from its acceptance to its end, which moves it to another
+// prefix. The holder of its group runs it and is the only one that writes its progress.
+const (
+	openPrefix  = "samphireplank-jobs/open/"
+	endedPrefix = "samphireplank-jobs/ended/"
+)
+
+// JobState is how far a stored job is.
+type JobState string
+
+// The states of a stored job; JobUnknown means that there is no such job.
+const (
+	JobUnknown   JobState = ""
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// ErrStoreAway means that the state of a job cannot be read at the moment.
+var ErrStoreAway = errors.New("the store does not answer")
+
+// openJob is what the store has of a job that has not ended.
+type openJob struct {
+	Group     string              `json:"group"` // that runs it
+	Accepted  time.Time           `json:"accepted"`
+	Cancelled bool                `json:"cancelled,omitempty"`
+	Policy    job.Policy          `json:"policy"`
+	Work      job.Work            `json:"work"`
+	Progress  *placement.Progress `json:"progress,omitempty"`
+}
+
+// endedJob is what the store has of a job that has ended.
+type endedJob struct {
+	Group string    `json:"group"` // that has run it, and removes the key in the end
+	State JobState  `json:"state"`
+	Ended time.Time `json:"ended"`
+}
+
+// Accepted means that a job is stored and will be run.
+type Accepted struct{}
+
+func (Accepted) reply() {}
+
+const (
+	// worthlessFactor is the multiple of the objective after which the end of a job is worth nothing to its caller; a job
+	// that would end later is refused, so that its caller can go elsewhere.
+	worthlessFactor = 3
+	// acceptRetry is the pause between two tries to store a job.
+	acceptRetry = 60 * time.Millisecond
+	// acceptTime bounds the tries to store a job that certainly is not stored yet.
+	acceptTime = 800 * time.Millisecond
+)
+
+// Keep stores a job that is to be run; it returns an Accepted, a Refused or an Undecided.
+func (g *Gateway) Keep(ctx context.Context, s Submission) Reply {
+	arrived := time.Now()
+	reply := g.accept(ctx, s, arrived)
+	line := g.log.Info().Str("event", "accept").Str("job", s.Work.ID).Str("route", s.Policy.Route).Int64("took-ms", time.Since(arrived).Milliseconds())
+	switch r := reply.(type) {
+	case Refused:
+		line.Str("outcome", "refused").Str("reason", r.Reason).Int64("retry-after-ms", r.RetryAfter.Milliseconds()).Send()
+	case Undecided:
+		line.Str("outcome", "undecided").Str("reason", r.Reason).Send()
+	default:
+		line.Str("outcome", "accepted").Send()
+	}
+	return reply
+}
+
+func (g *Gateway) accept(ctx context.Context, s Submission, arrived time.Time) Reply {
+	deadline := arrived.Add(s.Budget - replyMargin)
+	group, refusal := g.groupFor(s)
+	if group == "" {
+		// An earlier request for the same job may have stored it.
+		switch state, err := g.JobState(ctx, s.Work.ID); {
+		case err != nil:
+			return Undecided{Reason: err.Error()}
+		case state != JobUnknown:
+			return Accepted{}
+		}
+		return refusal
+	}
+	value, err := json.Marshal(openJob{Group: group, Accepted: arrived, Policy: s.Policy, Work: s.Work})
+	if err != nil {
+		return Refused{Reason: "the job cannot be stored: " + err.Error(), RetryAfter: g.config.Rules.MaxRefusalWait}
+	}
+	item := store.Item{Key: openPrefix + s.Work.ID, Value: value}
+	for open := false; ; {
+		revision, err := g.accepts.commit(ctx, store.Transaction{
+			Expect: []store.Condition{{Key: item.Key}, {Key: endedPrefix + s.Work.ID}}, Set: []store.Item{item},
+		})
+		switch {
+		case err == nil:
+			item.Revision = revision
+			g.tellHolder(group, item)
+			return Accepted{}
+		case errors.Is(err, store.ErrConflict):
+			state, err := g.JobState(ctx, s.Work.ID)
+			if err == nil && state != JobUnknown {
+				return Accepted{} // by an earlier request for the same job
+			}
+		case !errors.Is(err, store.ErrNoEffect):
+			open = true
+		}
+		left := time.Until(deadline)
+		switch {
+		case open && (left < acceptRetry || ctx.Err() != nil):
+			return Undecided{Reason: "the store has not said whether it has the job"}
+		case !open && (time.Since(arrived) > acceptTime || left < acceptRetry || ctx.Err() != nil):
+			return Refused{Reason: "the store does not take the job", RetryAfter: time.Second}
+		}
+		pause(ctx, acceptRetry)
+	}
+}
+
+// groupFor chooses the group for a job, or says why no group should have it.
+func (g *Gateway) groupFor(s Submission) (string, Refused) {
+	table := g.holders()
+	r := &request{Submission: s}
+	able := g.view.able(s)
+	objective := time.Duration(float64(chainOf(s.Work))*max(s.Policy.Stretch, 1)) + s.Policy.Target
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var options []option
+	least := time.Duration(-1)
+	for group := range able {
+		o := g.optionOf(group, r)
+		if table[group] == nil {
+			o.wait += noWorkerCost // its next holder runs the job
+		}
+		if least < 0 || o.wait < least {
+			least = o.wait
+		}
+		options = append(options, o)
+	}
+	if len(options) == 0 {
+		return "", Refused{Reason: "no worker can run the job", RetryAfter: g.config.Rules.MaxRefusalWait}
+	}
+	if late := least + chainOf(s.Work) - worthlessFactor*objective; late > 0 && least > noWorkerCost {
+		return "", Refused{Reason: "the job would end far too late", RetryAfter: min(late, g.config.Rules.MaxRefusalWait)}
+	}
+	return choose(options, g.settings.Zone, rand.Float64()), Refused{}
+}
+
+// chainOf returns the declared time of the longest chain of steps.
+func chainOf(w job.Work) time.Duration {
+	ends := make([]time.Duration, len(w.Steps))
+	var longest time.Duration
+	for i, s := range w.Steps {
+		for _, earlier := range s.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// able returns the groups that have a worker for each step of a job.
+func (v *view) able(s Submission) map[string]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	fits := map[string]uint64{} // by group, a bit for each of the first steps
+	var all uint64
+	for i := range s.Work.Steps[:min(len(s.Work.Steps), 64)] {
+		all |= 1 << i
+	}
+	for _, w := range v.workers {
+		group, known := v.groupOf(w)
+		if !known || w.Service != s.Policy.Service || w.Draining || fits[group] == all {
+			continue
+		}
+		for i, step := range s.Work.Steps[:min(len(s.Work.Steps), 64)] {
+			if step.Need.Fits(w.Capacity) && (step.RequiredLabel == "" || w.Labelled(step.RequiredLabel)) {
+				fits[group] |= 1 << i
+			}
+		}
+	}
+	able := map[string]bool{}
+	for group, steps := range fits {
+		if steps == all {
+			able[group] = true
+		}
+	}
+	return able
+}
+
+// tellHolder hands a stored job to the holder of its group, which would find it in the store by itself a little later.
+func (g *Gateway) tellHolder(group string, item store.Item) {
+	h := g.holderOf(group)
+	switch {
+	case h == nil:
+	case h.driver != nil:
+		h.driver.keeper.feed(g.ctx, item)
+	default:
+		h.conn.Send(peer.Stored{Group: group, Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+}
+
+// stateWait is how long an answer about a job waits for the job's end. Callers ask every 250 ms, often just before the end
+// is stored, and a caller that gets the end with this answer need not ask again.
+const stateWait = 100 * time.Millisecond
+
+// AwaitState returns the state of a stored job, after a short wait if it has not ended.
+func (g *Gateway) AwaitState(ctx context.Context, id string) (JobState, error) {
+	state, err := g.JobState(ctx, id)
+	if err != nil || state != JobQueued && state != JobRunning {
+		return state, err
+	}
+	if end, ended := g.finals.wait(ctx, id, stateWait); ended {
+		return end, nil
+	}
+	return state, nil
+}
+
+// JobState returns the state of a stored job as the store has it.
+func (g *Gateway) JobState(ctx context.Context, id string) (JobState, error) {
+	if state, known := g.finals.get(id); known {
+		return state, nil
+	}
+	for _, d := range g.allDrivers() {
+		if d.lostFence() {
+			continue
+		}
+		known, cancelled := d.keeper.has(id)
+		switch {
+		case cancelled:
+			return JobCancelled, nil
+		case known && d.begun(id):
+			return JobRunning, nil
+		case known:
+			return JobQueued, nil
+		}
+	}
+	state, found, err := g.openState(ctx, id)
+	if found || err != nil {
+		return state, err
+	}
+	// The end of a job writes one key and removes the other in one step, so a job is never missing under both.
+	item, err := g.config.Store.Get(ctx, endedPrefix+id)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return JobUnknown, nil
+	case err != nil:
+		return JobUnknown, errors.Join(ErrStoreAway, err)
+	}
+	var ended endedJob
+	if err := json.Unmarshal(item.Value, &ended); err != nil {
+		return JobUnknown, errors.Join(ErrStoreAway, err)
+	}
+	g.finals.put(id, ended.State)
+	return ended.State, nil
+}
+
+// peekAge is the age of a job up to which an old answer of the store may say that it has not ended: holders tell of ends
+// themselves, and the state must be right after 3 s.
+const peekAge = 2 * time.Second
+
+// openState returns the state of a job that has not ended.
+func (g *Gateway) openState(ctx context.Context, id string) (state JobState, found bool, err error) {
+	for _, read := range []func(context.Context, string) (store.Item, error){g.config.Store.Peek, g.config.Store.Get} {
+		item, err := read(ctx, openPrefix+id)
+		if errors.Is(err, store.ErrNotFound) {
+			found = false
+			continue
+		}
+		if err != nil {
+			return JobUnknown, false, errors.Join(ErrStoreAway, err)
+		}
+		var open openJob
+		if err := json.Unmarshal(item.Value, &open); err != nil {
+			return JobUnknown, false, errors.Join(ErrStoreAway, err)
+		}
+		state, found = JobCancelled, true
+		if !open.Cancelled {
+			state = g.progressOf(ctx, id, open)
+		}
+		if time.Since(open.Accepted) < peekAge {
+			break
+		}
+	}
+	return state, found, nil
+}
+
+// askTime bounds the question to a holder whether a job has begun.
+const askTime = 100 * time.Millisecond
+
+// progressOf tells a job that waits from one that runs: its holder knows, and the store once a task has ended.
+func (g *Gateway) progressOf(ctx context.Context, id string, open openJob) JobState {
+	if open.Progress != nil {
+		return JobRunning
+	}
+	h := g.holderOf(open.Group)
+	switch {
+	case h == nil:
+		return JobQueued
+	case h.driver != nil:
+		if h.driver.begun(id) {
+			return JobRunning
+		}
+		return JobQueued
+	}
+	sequence := g.nextRequest.Add(1)
+	answer := make(chan peer.Verdict, 1)
+	g.mu.Lock()
+	g.pending[sequence] = answer
+	g.mu.Unlock()
+	h.conn.Send(peer.Ask{Sequence: sequence, Group: open.Group, Job: id})
+	timer := time.NewTimer(askTime)
+	defer timer.Stop()
+	select {
+	case v := <-answer:
+		if v.Kind == peer.Begun {
+			return JobRunning
+		}
+	case <-timer.C:
+	case <-h.lost:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	delete(g.pending, sequence)
+	g.mu.Unlock()
+	return JobQueued
+}
+
+// CancelJob cancels a stored job and returns its state after that; JobUnknown means that there is no such job.
+func (g *Gateway) CancelJob(ctx context.Context, id string) (JobState, error) {
+	for {
+		item, err := g.config.Store.Get(ctx, openPrefix+id)
+		if errors.Is(err, store.ErrNotFound) {
+			return g.JobState(ctx, id)
+		}
+		if err == nil {
+			var open openJob
+			if err := json.Unmarshal(item.Value, &open); err != nil {
+				return JobUnknown, errors.Join(ErrStoreAway, err)
+			}
+			if open.Cancelled {
+				return JobCancelled, nil
+			}
+			open.Cancelled = true
+			if item.Value, err = json.Marshal(open); err != nil {
+				return JobUnknown, errors.Join(ErrStoreAway, err)
+			}
+			var revision int64
+			revision, err = g.config.Store.Commit(ctx, store.Transaction{
+				Expect: []store.Condition{{Key: item.Key, Revision: item.Revision}}, Set: []store.Item{item},
+			})
+			if err == nil {
+				item.Revision = revision
+				g.log.Info().Str("event", "cancel").Str("job", id).Str("outcome", "stored").Send()
+				g.tellHolder(open.Group, item)
+				return JobCancelled, nil
+			}
+		}
+		// A conflict means progress of the job; an open outcome is settled by reading again.
+		if ctx.Err() != nil {
+			return JobUnknown, errors.Join(ErrStoreAway, err)
+		}
+		pause(ctx, acceptRetry)
+	}
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -7,6 +7,7 @@
 
 	"samphireplank.example/samphireplank/peer"
 	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
 )
 
 const (
@@ -164,6 +165,8 @@
 		h.g.verdict(m)
 	case peer.Copy:
 		h.g.view.take(m)
+	case peer.Over:
+		h.g.noteEnds(m)
 	case peer.Want:
 		c.Send(h.g.view.copyFor(m.All))
 	}
@@ -192,6 +195,7 @@
 		for _, h := range m.Holds {
 			l.holds[h.Group] = h.Fence
 			g.loads[h.Group] = h.Loads
+			g.waiting[h.Group] = h.Waiting
 		}
 		changed := !maps.Equal(l.holds, before)
 		g.mu.Unlock()
@@ -253,6 +257,18 @@
 		c.Send(h.g.view.copyFor(m.All))
 	case peer.Copy:
 		h.g.view.take(m)
+	case peer.Over:
+		h.g.noteEnds(m)
+	case peer.Stored:
+		if d := h.g.driverOf(m.Group); d != nil {
+			d.keeper.feed(h.g.ctx, store.Item{Key: m.Key, Value: m.Value, Revision: m.Revision})
+		}
+	case peer.Ask:
+		v := peer.Verdict{Sequence: m.Sequence, Kind: peer.NotRun}
+		if d := h.g.driverOf(m.Group); d != nil && d.begun(m.Job) {
+			v.Kind = peer.Begun
+		}
+		c.Send(v)
 	case peer.TakeOver:
 		h.g.mu.Lock()
 		h.g.asked[m.Group] = offer{c.Remote().VM, time.Now()}
@@ -261,6 +277,19 @@
 	}
 }
 
+// noteEnds takes in jobs that have ended.
+func (g *Gateway) noteEnds(m peer.Over) {
+	for id, state := range m.States {
+		g.finals.put(id, JobState(state))
+	}
+}
+
+func (g *Gateway) driverOf(group string) *driver {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.drivers[group]
+}
+
 func (h inbound) id(c *peer.Conn) uint64 {
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,6 +24,7 @@
 	StoreAddress   string
 	LeaseTime      time.Duration // longest lease of a worker
 	StopGrace      time.Duration // from the order to stop to the kill
+	StatusTime     time.Duration // for which the state of an ended job can be read
 	ResendTime     time.Duration // after which a client sends a job again that got no answer
 	Seeds          []string      // link addresses of VMs to ask while the store is out of reach
 	Weight         float64       // processor share of the VM
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -420,11 +420,24 @@
 	return g.active[id] != nil
 }
 
-// Waiting returns the number of jobs of a route that have not started in the groups that this VM holds.
+// Waiting returns the number of jobs of a route that have not started, as the holders have told last.
 func (g *Gateway) Waiting(route string) int {
-	n := 0
+	own := map[string]map[string]int{}
 	for _, d := range g.allDrivers() {
-		n += d.waiting(route)
+		if !d.lostFence() {
+			own[d.group] = d.waitingJobs()
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for group, told := range g.waiting {
+		if own[group] == nil {
+			n += told[route]
+		}
+	}
+	for _, mine := range own {
+		n += mine[route]
 	}
 	return n
 }
--- a/job/work.go
+++ b/job/work.go
@@ -10,33 +10,34 @@
 
 // Step is a number of equal tasks of a Work.
 type Step struct {
-	Count         int
-	Need          worker.Resources // of each task
-	Estimate      time.Duration    // rough run time of a task, as the caller declares it
-	After         []int            // earlier steps whose tasks must all be done before
-	RequiredLabel string           // label that the worker must have
-	DataRack      string           // rack on which the tasks run fastest
-	MaxPerWorker  int              // most tasks of the step on one worker at a time, 0 for any number
-	Unsupported   string           // feature of the step that this dispatcher does not offer
+	Count         int              `json:"count,omitempty"`
+	Need          worker.Resources `json:"need,omitempty"`           // of each task
+	Estimate      time.Duration    `json:"estimate,omitempty"`       // rough run time of a task, as the caller declares it
+	After         []int            `json:"after,omitempty"`          // earlier steps whose tasks must all be done before
+	RequiredLabel string           `json:"required-label,omitempty"` // label that the worker must have
+	DataRack      string           `json:"data-rack,omitempty"`      // rack on which the tasks run fastest
+	MaxPerWorker  int              `json:"max-per-worker,omitempty"` // most tasks of the step on one worker at a time, 0 for any number
+	Checkpointing bool             `json:"checkpointing,omitempty"`  // a task that ends early can go on from its newest checkpoint
+	Unsupported   string           `json:"unsupported,omitempty"`    // feature of the step that this dispatcher does not offer
 }
 
 // Work is a submission whose tasks run on workers.
 type Work struct {
-	ID         string // chosen by the caller
-	Spec       string // passed on to the workers
-	Steps      []Step
-	BestEffort bool // the caller waits for the end, and nothing is stored
+	ID         string `json:"id,omitempty"`   // chosen by the caller
+	Spec       string `json:"spec,omitempty"` // passed on to the workers
+	Steps      []Step `json:"steps,omitempty"`
+	BestEffort bool   `json:"best-effort,omitempty"` // the caller waits for the end, and nothing is stored; otherwise the job outlives every VM
 }
 
 // Policy is what the configuration says about the work of a route.
 type Policy struct {
-	Route       string
-	Service     string
-	Priority    int           // 0 is the most urgent
-	MaxAttempts int           // failed runs of a task after which the work has failed
-	Stretch     float64       // the objective is the ideal run time multiplied by it ...
-	Target      time.Duration // ... and this added
-	Timeout     time.Duration
+	Route       string        `json:"route,omitempty"`
+	Service     string        `json:"service,omitempty"`
+	Priority    int           `json:"priority,omitempty"`     // 0 is the most urgent
+	MaxAttempts int           `json:"max-attempts,omitempty"` // failed runs of a task after which the work has failed
+	Stretch     float64       `json:"stretch,omitempty"`      // the objective is the ideal run time multiplied by it ...
+	Target      time.Duration `json:"target,omitempty"`       // ... and this added
+	Timeout     time.Duration `json:"timeout,omitempty"`
 }
 
 // TaskName returns the name of a task of the work on workers.
--- a/peer/message.go
+++ b/peer/message.go
@@ -21,9 +21,10 @@
 
 // Holding is a group that a VM holds.
 type Holding struct {
-	Group string
-	Fence int64
-	Loads map[string]placement.Load // by service
+	Group   string
+	Fence   int64
+	Loads   map[string]placement.Load // by service
+	Waiting map[string]int            // jobs that have not begun, by route
 }
 
 // Heartbeat tells that a VM lives, what it holds and what it knows.
@@ -58,6 +59,7 @@
 	NotRun
 	Expired
 	Moved
+	Begun
 )
 
 // Verdict answers a Submit.
@@ -71,6 +73,24 @@
 	Loads      map[string]placement.Load // of the group
 }
 
+// Stored tells the holder of a group of a job that was stored or cancelled; the rest is the item of the store.
+type Stored struct {
+	Group    string
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Over tells of stored jobs that have ended.
+type Over struct{ States map[string]string } // by job
+
+// Ask asks the holder of a group whether a job has begun; a Verdict of the kind Begun says so.
+type Ask struct {
+	Sequence uint64
+	Group    string
+	Job      string
+}
+
 // TakeOver asks a VM to become the holder of a group, since the present one stops.
 type TakeOver struct{ Group string }
 
@@ -91,6 +111,9 @@
 func (Submit) message()    {}
 func (Withdraw) message()  {}
 func (Verdict) message()   {}
+func (Stored) message()    {}
+func (Over) message()      {}
+func (Ask) message()       {}
 func (TakeOver) message()  {}
 func (Want) message()      {}
 func (Copy) message()      {}
@@ -99,7 +122,7 @@
 type envelope struct{ Message Message }
 
 func init() {
-	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Withdraw{}, Verdict{}, TakeOver{}, Want{}, Copy{}} {
+	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
 		gob.Register(m)
 	}
 }
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -40,6 +40,9 @@
 	if b == nil || b.steps[i].tasks[j].state != taskWaiting {
 		return
 	}
+	if f.done && b.kept {
+		return // earlierEnd counts it, and keeps it unacknowledged until that is stored
+	}
 	delete(p.found, name)
 	t := &b.steps[i].tasks[j]
 	t.runs = max(t.runs, f.number)
@@ -72,7 +75,9 @@
 		}
 		left++
 		if f.done {
-			delete(p.found, name)
+			if p.restored {
+				delete(p.found, name)
+			}
 			continue
 		}
 		p.endFound(name, f)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/worker"
 )
 
 // batch is a job in the pool.
@@ -23,6 +22,16 @@
 	queued    bool
 	closed    bool // answered; its runs are being stopped
 	order     float64
+	lateness  int // as of the last placement
+
+	kept      bool // stored; the fields below are used for such jobs only
+	state     KeptState
+	notBefore time.Time // runs of an earlier holder may be alive until then
+	version   int       // grows with each change that has to be stored
+	saved     int       // version that is stored
+	saving    bool
+	saveAt    time.Time // when progress is stored, zero if there is none
+	pins      []pin
 }
 
 type step struct {
@@ -43,10 +52,12 @@
 	state     taskState
 	runs      int // highest run number
 	failed    int
+	counted   int       // highest number of a failed run that is counted
 	moved     int       // runs given up since their worker was slow
 	notBefore time.Time // an earlier holder's run may be alive until then ...
 	lastSeen  string    // ... on this worker, or on any one if empty
 	avoid     []string  // workers on which it failed or stood still
+	resumeAt  string    // newest checkpoint
 }
 
 func (b *batch) name(step, index int) string { return job.TaskName(b.work.ID, step, index) }
@@ -56,28 +67,33 @@
 	p := Progress{}
 	for i := range b.steps {
 		n := len(b.steps[i].tasks)
-		done, failed, runs, on := make([]bool, n), make([]int, n), make([]int, n), make([]string, n)
+		done, failed, counted, runs := make([]bool, n), make([]int, n), make([]int, n), make([]int, n)
+		on, checkpoints := make([]string, n), make([]string, n)
 		for j, t := range b.steps[i].tasks {
-			done[j], failed[j], runs[j] = t.state == taskDone, t.failed, t.runs
+			done[j], failed[j], counted[j], runs[j], checkpoints[j] = t.state == taskDone, t.failed, t.counted, t.runs, t.resumeAt
 			if r := alive[b.name(i, j)]; r != nil {
 				on[j] = r.node.ID
 			} else if t.notBefore.After(now) {
 				on[j] = t.lastSeen
 			}
 		}
-		p.Done, p.Failed, p.Runs, p.On = append(p.Done, done), append(p.Failed, failed), append(p.Runs, runs), append(p.On, on)
+		p.Done, p.Failed, p.Counted = append(p.Done, done), append(p.Failed, failed), append(p.Counted, counted)
+		p.Runs, p.On, p.Checkpoints = append(p.Runs, runs), append(p.On, on), append(p.Checkpoints, checkpoints)
 	}
 	return p
 }
 
 func (b *batch) restore(p Progress) {
 	for i := range b.steps {
-		if i >= len(p.Done) || len(p.Done[i]) != len(b.steps[i].tasks) {
+		if !p.fits(i, len(b.steps[i].tasks)) {
 			continue
 		}
 		for j := range b.steps[i].tasks {
 			t := &b.steps[i].tasks[j]
-			t.failed, t.runs, t.lastSeen = p.Failed[i][j], p.Runs[i][j], p.On[i][j]
+			t.failed, t.counted, t.runs, t.resumeAt = p.Failed[i][j], p.Counted[i][j], p.Runs[i][j], p.Checkpoints[i][j]
+			if p.On != nil {
+				t.lastSeen = p.On[i][j]
+			}
 			if p.Done[i][j] {
 				t.state = taskDone
 				b.steps[i].left--
@@ -87,8 +103,29 @@
 	}
 }
 
+// fits says whether the progress of a step has the given number of tasks.
+func (p Progress) fits(step, tasks int) bool {
+	for _, length := range []int{stepLength(p.Done, step), stepLength(p.Failed, step), stepLength(p.Counted, step), stepLength(p.Runs, step), stepLength(p.Checkpoints, step)} {
+		if length != tasks {
+			return false
+		}
+	}
+	return p.On == nil || stepLength(p.On, step) == tasks
+}
+
+func stepLength[T any](rows [][]T, step int) int {
+	if step >= len(rows) {
+		return -1
+	}
+	return len(rows[step])
+}
+
 // submit admits a job or refuses it at once.
 func (p *Pool) submit(m Submit) {
+	if m.Kept {
+		p.keep(m)
+		return
+	}
 	if same := p.byID[m.Work.ID]; same != nil && !same.closed {
 		same.keys[m.Key] = struct{}{}
 		p.jobs[m.Key] = same
@@ -157,6 +194,9 @@
 			if b.steps[i].tasks[j].state == taskBlocked {
 				b.steps[i].tasks[j].state = taskWaiting
 				b.waiting++
+				if b.kept {
+					p.resume(b.name(i, j))
+				}
 			}
 		}
 	}
@@ -206,6 +246,16 @@
 	}
 	b.closed = true
 	delete(p.byID, b.work.ID)
+	if b.kept {
+		switch verdict.(type) {
+		case Completed:
+			b.state = KeptCompleted
+		case Failed:
+			b.state = KeptFailed
+		}
+		b.version++
+		p.changeKept(b)
+	}
 	for i := range b.steps {
 		for j := range b.steps[i].tasks {
 			if r := p.tasks[b.name(i, j)]; r != nil && r.batch == b {
@@ -217,7 +267,7 @@
 
 // taskWaits puts a task back after its run has ended without success.
 func (p *Pool) taskWaits(b *batch, i, j int) {
-	if b.closed {
+	if b.closed || b.steps[i].tasks[j].state == taskDone {
 		return
 	}
 	b.steps[i].tasks[j].state = taskWaiting
@@ -255,19 +305,25 @@
 	t.failed++
 	t.avoid = append(t.avoid, on)
 	if t.failed >= max(b.policy.MaxAttempts, 1) {
-		p.note("job-failed", b.work.ID, on, "a task has failed as often as the route allows", map[string]int64{"attempts": int64(t.failed)})
-		p.pardon(t.avoid)
-		p.close(b, Failed{Task: b.name(i, j)})
+		p.giveUp(b, i, j, on)
 		return
 	}
 	p.taskWaits(b, i, j)
 }
 
+// giveUp ends a job of which a task has failed as often as the policy allows.
+func (p *Pool) giveUp(b *batch, i, j int, on string) {
+	t := &b.steps[i].tasks[j]
+	p.note("job-failed", b.work.ID, on, "a task has failed as often as the route allows", map[string]int64{"attempts": int64(t.failed)})
+	p.pardon(t.avoid)
+	p.close(b, Failed{Task: b.name(i, j)})
+}
+
 // expire ends the jobs whose time is over.
 func (p *Pool) expire() {
 	var over []*batch
 	for _, b := range p.byID {
-		if !p.now.Before(b.deadline) {
+		if !b.kept && !p.now.Before(b.deadline) {
 			over = append(over, b)
 		}
 	}
@@ -282,16 +338,6 @@
 	}
 }
 
-// labelled says whether a worker has a label.
-func labelled(w worker.Worker, label string) bool {
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
-}
-
 // locate returns the job and position of a task by its name; the job is nil if it is not here.
 func (p *Pool) locate(name string) (b *batch, step, index int) {
 	id, step, index, ok := job.ParseTaskName(name)
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -32,6 +32,13 @@
 	listedAt time.Time
 	fenced   bool
 	wasted   time.Duration // core time of runs that were not done, in units of one core
+
+	stored       map[string]*simStored
+	storedIDs    []string
+	storeDelay   int             // longest time of a write in milliseconds
+	done         map[string]bool // tasks that have ended so
+	acknowledged map[string]bool // tasks of stored jobs whose end as done was acknowledged
+	failures     map[string]int  // failed runs of tasks of stored jobs that were acknowledged
 }
 
 type timedNote struct {
@@ -132,6 +139,7 @@
 // newFleet returns workers of 64 and 96 cores under a fresh pool.
 func newFleet(t testing.TB, seed uint64, count int) *fleet {
 	f := &fleet{
+		stored: map[string]*simStored{}, storeDelay: 5, done: map[string]bool{}, acknowledged: map[string]bool{}, failures: map[string]int{},
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		workers: map[string]*simWorker{}, alive: map[string]int{}, begun: map[string]bool{},
 		verdicts: map[Key]Verdict{}, jobs: map[Key]*simJob{}, known: map[string]*simJob{},
@@ -161,8 +169,9 @@
 func (f *fleet) newPool() {
 	f.pools++
 	f.fenced = false
-	f.pool = New(Config{Fence: int64(f.pools), Rules: DefaultRules()})
+	f.pool = New(Config{Fence: int64(f.pools), Rules: DefaultRules(), Restoring: len(f.stored) > 0})
 	f.step(f.pool, f.list())
+	f.restore(f.pool)
 	f.tick(f.pool)
 }
 
@@ -238,6 +247,8 @@
 				f.t.Fatalf("job %s was refused as not run after a task had started", j.work.ID)
 			}
 		}
+	case Save:
+		f.save(p, e)
 	case Fenced:
 		f.fenced = true
 	case Note:
--- a/placement/health.go
+++ b/placement/health.go
@@ -21,6 +21,9 @@
 	judgeFactor = 0.2
 	// strikesForQuarantine is the number of bad runs in a row; tasks fail by themselves in 0.2% of all runs.
 	strikesForQuarantine = 2
+	// hangFactor and hangSlack bound the time of a run of a stored job, as a multiple of its longest expected time.
+	hangFactor = 4
+	hangSlack  = time.Second
 	// maxMoves bounds how often one task is moved away from slow workers.
 	maxMoves = 2
 )
@@ -95,8 +98,10 @@
 	sound := p.longest(r.batch, r.step)
 	total := elapsed * time.Duration(100) / time.Duration(max(r.progress, 1))
 	r.judgeAt = p.now.Add(max(sound/4, p.rules.OverdueWait))
-	slow := float64(total) > p.rules.SlowFactor*float64(sound)
-	if !slow || total-elapsed < sound+sound/4+p.rules.StallSlack {
+	slow := float64(total) > p.rules.SlowFactor*float64(sound) && total-elapsed >= sound+sound/4+p.rules.StallSlack
+	// A job with a deadline ends by it; a stored one would wait for ever for a run that claims progress and does not end.
+	hangs := r.batch.kept && elapsed > hangFactor*sound+hangSlack
+	if !slow && !hangs {
 		return
 	}
 	t := &r.batch.steps[r.step].tasks[r.index]
--- /dev/null
+++ b/placement/kept.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"time"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/worker"
+)
+
+// KeptState says how far a stored job is.
+type KeptState uint8
+
+// The states of a stored job.
+const (
+	KeptOpen KeptState = iota
+	KeptCompleted
+	KeptFailed
+	KeptCancelled
+)
+
+// A stored job survives its holder. What a worker lists as ended is acknowledged only after the store has what follows
+// from it, because the worker forgets an acknowledged end and the next holder would run the task again.
+
+// pin keeps an end unacknowledged until a version of its job is stored.
+type pin struct {
+	node     *node
+	born     int64
+	sequence int64
+	version  int
+}
+
+// listedEnd is an end that was listed before the stored jobs of the group were known.
+type listedEnd struct {
+	node *node
+	born int64
+	end  worker.End
+}
+
+// keep takes a stored job; it is never refused and has no deadline.
+func (p *Pool) keep(m Submit) {
+	if p.kept[m.Work.ID] != nil || p.byID[m.Work.ID] != nil {
+		return
+	}
+	b := p.newBatch(m)
+	b.kept, b.started = true, false
+	clear(b.keys)
+	p.kept[b.work.ID], p.byID[b.work.ID] = b, b
+	if m.Resumed || !p.allSurveyed() {
+		// An earlier holder may have started tasks on a worker that has not shown yet what it runs.
+		b.notBefore = p.now.Add(time.Duration(float64(p.rules.LeaseTime)*(1+p.rules.ClockDrift)) + leaseSlack)
+	}
+	p.unblock(b)
+	for i := range b.steps {
+		for j := range b.steps[i].tasks {
+			p.resume(b.name(i, j))
+		}
+	}
+	if b.left == 0 && !b.closed {
+		p.close(b, Completed{})
+	}
+}
+
+// restored takes in that all jobs are known that the store had for the group when its holder changed.
+func (p *Pool) takeRestored() {
+	if p.restored {
+		return
+	}
+	p.restored = true
+	for _, l := range p.listed {
+		if l.node.born == l.born {
+			p.earlierEnd(l.node, l.end)
+		}
+	}
+	p.listed = nil
+}
+
+// cancel ends a stored job on its caller's order.
+func (p *Pool) cancel(id string) {
+	b := p.kept[id]
+	if b == nil || b.closed {
+		return
+	}
+	p.note("job-cancelled", id, "", "by its caller", map[string]int64{"tasks-left": int64(b.left)})
+	b.state = KeptCancelled
+	p.close(b, nil)
+}
+
+// keepEnd keeps an end unacknowledged if it is one of a stored job.
+func (p *Pool) keepEnd(n *node, e worker.End) {
+	if e.Outcome != worker.Done && e.Outcome != worker.Failed {
+		return
+	}
+	id, _, _, ok := job.ParseTaskName(e.Task)
+	b := p.kept[id]
+	if !ok || b == nil {
+		return
+	}
+	if !b.closed {
+		b.version++ // the end of a job is its last version
+	}
+	n.pins[e.Sequence] = struct{}{}
+	b.pins = append(b.pins, pin{node: n, born: n.born, sequence: e.Sequence, version: b.version})
+	p.changeKept(b)
+}
+
+// changeKept notes that a job has something new to store: its end at once, anything else with what follows soon.
+func (p *Pool) changeKept(b *batch) {
+	if b.saveAt.IsZero() {
+		b.saveAt = p.now.Add(p.rules.SaveDelay)
+	}
+	p.changed = append(p.changed, b)
+}
+
+// earlierEnd takes in an end of a run that this pool does not have, which counts for a stored job all the same.
+func (p *Pool) earlierEnd(n *node, e worker.End) {
+	if !p.restored {
+		p.listed = append(p.listed, listedEnd{node: n, born: n.born, end: e})
+		return
+	}
+	b, i, j := p.locate(e.Task)
+	if b == nil || !b.kept {
+		return
+	}
+	t := &b.steps[i].tasks[j]
+	t.runs = max(t.runs, e.Number)
+	switch {
+	case e.Outcome == worker.Done && t.state != taskDone:
+		p.keepEnd(n, e)
+		if r := p.tasks[b.name(i, j)]; r != nil {
+			p.stopRun(r)
+		}
+		p.taskDone(b, i, j)
+	case e.Outcome == worker.Failed && e.Number > t.counted && t.state != taskDone:
+		p.keepEnd(n, e)
+		t.failed++
+		t.counted = e.Number
+		t.avoid = append(t.avoid, n.ID)
+		if t.failed >= max(b.policy.MaxAttempts, 1) {
+			p.giveUp(b, i, j, n.ID)
+		}
+	}
+}
+
+// saveChanged asks to store the jobs that have changed, one version of each at a time.
+func (p *Pool) saveChanged() {
+	later := p.changed[:0]
+	for _, b := range p.changed {
+		if b.saving || b.saved >= b.version {
+			continue
+		}
+		if !b.closed && p.now.Before(b.saveAt) {
+			later = append(later, b)
+			continue
+		}
+		b.saving, b.saveAt = true, time.Time{}
+		progress := b.progress(nil, p.now)
+		progress.On = nil
+		p.emit(Save{Job: b.work.ID, Version: b.version, State: b.state, Progress: progress})
+	}
+	clear(p.changed[len(later):])
+	p.changed = later
+}
+
+// takeSaved releases the ends that a stored version covers.
+func (p *Pool) takeSaved(m Saved) {
+	b := p.kept[m.Job]
+	if b == nil {
+		return
+	}
+	b.saving, b.saved = false, max(b.saved, m.Version)
+	left := b.pins[:0]
+	for _, x := range b.pins {
+		switch {
+		case x.version > m.Version:
+			left = append(left, x)
+		case x.node.born == x.born:
+			delete(x.node.pins, x.sequence)
+		}
+	}
+	b.pins = left
+	if b.saved < b.version {
+		p.changeKept(b)
+		return
+	}
+	if b.closed {
+		delete(p.kept, m.Job)
+	}
+}
+
+// ackable returns the sequence of the last end that may be acknowledged.
+func (p *Pool) ackable(n *node) int64 {
+	if !p.restored {
+		return n.acked
+	}
+	last := n.handled
+	for sequence := range n.pins {
+		last = min(last, sequence-1)
+	}
+	return last
+}
+
+// unacked says whether a worker answers holds at once, since it lists ends that may not be acknowledged yet.
+func (p *Pool) unacked(n *node) bool {
+	return p.ackable(n) < n.handled && p.now.Sub(n.heldAt) < p.rules.UnackedRest
+}
+
+// lateness ranks a job by what its end is still worth: 0 on time, 1 late, 2 for stored jobs that are very late.
+func (p *Pool) lateness(b *batch) int {
+	end := p.now.Add(p.chain(b))
+	switch {
+	case !end.After(b.objective):
+		return 0
+	case b.kept && end.After(b.objective.Add((lateFactor-1)*b.objective.Sub(b.arrived))):
+		return 2
+	}
+	return 1
+}
+
+// lateFactor is the multiple of the objective after which the end of a job is worth nothing to its caller.
+const lateFactor = 3
--- a/placement/message.go
+++ b/placement/message.go
@@ -37,14 +37,17 @@
 	Budget   time.Duration // time left for the answer
 	Resumed  bool          // an earlier holder of the group may have started the job
 	Progress Progress      // of a resumed job, as far as it is known
+	Kept     bool          // the job is stored: it has no deadline, no verdict, and Key is not used
 }
 
 // Progress is what is known of a job that another holder has run.
 type Progress struct {
-	Done   [][]bool   // by step and task
-	Failed [][]int    // failed runs by step and task
-	Runs   [][]int    // highest run number by step and task
-	On     [][]string // worker on which a run of the task may be alive, by step and task
+	Done        [][]bool   `json:"done,omitempty"`        // by step and task
+	Failed      [][]int    `json:"failed,omitempty"`      // failed runs by step and task
+	Counted     [][]int    `json:"counted,omitempty"`     // highest number of a failed run that is counted, by step and task
+	Runs        [][]int    `json:"runs,omitempty"`        // highest run number by step and task
+	On          [][]string `json:"on,omitempty"`          // worker on which a run of the task may be alive, by step and task; nil if not known
+	Checkpoints [][]string `json:"checkpoints,omitempty"` // newest checkpoint, by step and task
 }
 
 // known says whether the earlier holder has told the progress itself.
@@ -85,6 +88,18 @@
 // Raise goes on under a higher fence of the same holder.
 type Raise struct{ Fence int64 }
 
+// Saved answers a Save.
+type Saved struct {
+	Job     string
+	Version int
+}
+
+// Cancel ends a stored job.
+type Cancel struct{ Job string }
+
+// Restored says that all stored jobs of the group were submitted that an earlier holder may have run.
+type Restored struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -99,6 +114,9 @@
 func (HoldAnswer) message()   {}
 func (WithdrawLink) message() {}
 func (Raise) message()        {}
+func (Saved) message()        {}
+func (Cancel) message()       {}
+func (Restored) message()     {}
 func (Tick) message()         {}
 func (HandOver) message()     {}
 
@@ -120,6 +138,14 @@
 	Verdict Verdict
 }
 
+// Save asks to store what is known of a stored job and returns a Saved. Later versions replace earlier ones.
+type Save struct {
+	Job      string
+	Version  int
+	State    KeptState
+	Progress Progress
+}
+
 // Fenced says that another holder has taken the group; the pool decides nothing more.
 type Fenced struct{ Worker string }
 
@@ -136,6 +162,7 @@
 func (Stop) effect()   {}
 func (Hold) effect()   {}
 func (Answer) effect() {}
+func (Save) effect()   {}
 func (Fenced) effect() {}
 func (Note) effect()   {}
 
--- a/placement/node.go
+++ b/placement/node.go
@@ -17,10 +17,11 @@
 	clockAt  time.Time     // ... when its answer was received
 	free     worker.Resources
 	runs     map[string]*run
-	foreign  int       // runs listed that are not of this pool
-	handled  int64     // sequence of the last end that was taken into account
-	acked    int64     // sequence that was last acknowledged
-	lease    time.Time // by then all has lapsed that was ordered so far
+	foreign  int                // runs listed that are not of this pool
+	handled  int64              // sequence of the last end that was taken into account
+	acked    int64              // sequence that was last acknowledged
+	pins     map[int64]struct{} // ends that may not be acknowledged yet
+	lease    time.Time          // by then all has lapsed that was ordered so far
 	holding  bool
 	heldAt   time.Time
 	errors   int // calls without an answer since the last one with
@@ -71,7 +72,7 @@
 }
 
 func newNode(w worker.Worker) *node {
-	return &node{Worker: w, born: w.Born, free: w.Capacity, runs: map[string]*run{}, health: health{pace: 1}}
+	return &node{Worker: w, born: w.Born, free: w.Capacity, runs: map[string]*run{}, pins: map[int64]struct{}{}, health: health{pace: 1}}
 }
 
 func (p *Pool) sortNodes() {
@@ -141,6 +142,7 @@
 	}
 	p.loseFound(n)
 	n.surveyed, n.handled, n.acked, n.probeAt = false, 0, 0, p.now
+	clear(n.pins)
 }
 
 // clockNow returns a time that the worker's clock has certainly reached.
@@ -176,7 +178,7 @@
 		if n.holding {
 			continue
 		}
-		order := worker.HoldOrder{Target: target(n), Fence: p.fence, Acknowledged: n.handled}
+		order := worker.HoldOrder{Target: target(n), Fence: p.fence, Acknowledged: p.ackable(n)}
 		switch {
 		case n.errors > 0 || !n.surveyed || n.foreign > 0:
 			if p.now.Before(n.probeAt) {
@@ -187,10 +189,12 @@
 			if n.surveyed && n.errors <= 1 && len(n.runs) > 0 {
 				order.Lease = p.extend(n)
 			}
+		case p.unacked(n):
+			continue
 		case len(n.runs) > 0:
 			order.Lease = p.extend(n)
 			order.Wait = p.holdWait(n)
-		case n.acked < n.handled:
+		case n.acked < order.Acknowledged:
 			if p.now.Sub(n.heldAt) < p.rules.AckDelay {
 				continue
 			}
@@ -251,6 +255,7 @@
 		case worker.ReasonReborn:
 			p.loseAll(n, "worker restarted")
 			n.surveyed, n.handled, n.acked, n.born = false, 0, 0, 0
+			clear(n.pins)
 		}
 	}
 	n.errors++
@@ -271,9 +276,11 @@
 	for _, e := range report.Ended {
 		n.handled = max(n.handled, e.Sequence)
 		if own := n.runs[e.Task]; own != nil && own.number == e.Number {
-			p.runEnded(own, e.Outcome)
+			p.keepEnd(n, e)
+			p.runEnded(own, e)
 			continue
 		}
+		p.earlierEnd(n, e)
 		if e.Outcome == worker.Done {
 			p.found[e.Task] = found{node: n, number: e.Number, done: true, until: until}
 			p.resume(e.Task)
@@ -305,9 +312,11 @@
 		n.handled = e.Sequence
 		r := n.runs[e.Task]
 		if r == nil || r.number != e.Number {
+			p.earlierEnd(n, e)
 			continue
 		}
-		p.runEnded(r, e.Outcome)
+		p.keepEnd(n, e)
+		p.runEnded(r, e)
 	}
 }
 
@@ -327,6 +336,7 @@
 		row, running := listed[r.name]
 		switch {
 		case running:
+			p.checkpoint(r, row.Checkpoint)
 			p.observe(r, row.Progress)
 		case r.confirmed.IsZero() && m.Report.Clock <= r.lease:
 			// The start has no answer yet and may still be carried out.
--- a/placement/order.go
+++ b/placement/order.go
@@ -32,11 +32,6 @@
 	p.unsorted = true
 }
 
-// late says whether the job can no longer end on time.
-func (p *Pool) late(b *batch) bool {
-	return p.now.Add(p.chain(b)).After(b.objective)
-}
-
 // place starts the waiting tasks that fit, in order. A task that finds no room keeps the worker that will have room
 // for it first; later tasks go there only if they end before that, so that wide and large tasks do not starve.
 func (p *Pool) place() {
@@ -47,12 +42,12 @@
 	kept := p.queue[:0]
 	reserved := map[*node]time.Time{}
 	// Late jobs come after all jobs that can still be on time.
-	for pass := range 2 {
+	for _, b := range p.queue {
+		b.lateness = p.lateness(b)
+	}
+	for pass := range 3 {
 		for _, b := range p.queue {
-			if b.closed || b.waiting == 0 {
-				continue
-			}
-			if late := p.late(b); late != (pass == 1) {
+			if b.closed || b.waiting == 0 || b.lateness != pass {
 				continue
 			}
 			p.placeBatch(b, reserved)
@@ -73,7 +68,7 @@
 const maxReservations = 1
 
 func (p *Pool) placeBatch(b *batch, reserved map[*node]time.Time) {
-	if !b.started && p.now.Add(time.Duration(hopelessShare*float64(p.chain(b)))).After(b.objective) {
+	if !b.kept && !b.started && p.now.Add(time.Duration(hopelessShare*float64(p.chain(b)))).After(b.objective) {
 		p.close(b, p.refusal("the job can no longer end on time", p.backlog(b.policy.Priority)))
 		return
 	}
@@ -108,6 +103,9 @@
 		return true
 	}
 	t := &b.steps[i].tasks[j]
+	if b.kept && (!p.restored || p.now.Before(b.notBefore) && (p.partial || !p.allSurveyed())) {
+		return true
+	}
 	if !p.now.Before(t.notBefore) {
 		return false
 	}
@@ -121,7 +119,7 @@
 // allowed says whether the step may run on the node at all.
 func (p *Pool) allowed(b *batch, i int, n *node) bool {
 	s := b.work.Steps[i]
-	if n.Service != b.policy.Service || s.RequiredLabel != "" && !labelled(n.Worker, s.RequiredLabel) {
+	if n.Service != b.policy.Service || s.RequiredLabel != "" && !n.Labelled(s.RequiredLabel) {
 		return false
 	}
 	if s.MaxPerWorker > 0 {
@@ -189,7 +187,7 @@
 	if n.health.onTrial {
 		cost += trialCost
 	}
-	if rack != "" && !labelled(n.Worker, rack) {
+	if rack != "" && !n.Labelled(rack) {
 		cost += rackCost
 	}
 	return cost
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -11,6 +11,8 @@
 	Rules Rules
 	// Partial says that the list of workers may lack some that an earlier holder has used and whose entries have lapsed.
 	Partial bool
+	// Restoring says that stored jobs of the group are still being read; Restored ends it.
+	Restoring bool
 }
 
 // Pool is the state of one group of workers under one holder. It is not safe for concurrent use.
@@ -28,6 +30,10 @@
 	tasks     map[string]*run  // runs that may be alive, by task
 	found     map[string]found // runs of an earlier holder, by task
 	durations map[string]float64
+	kept      map[string]*batch // stored jobs until their end is stored
+	changed   []*batch          // stored jobs with something new to store
+	listed    []listedEnd
+	restored  bool // the stored jobs of the group are known
 	effects   []Effect
 	unsorted  bool
 	ended     bool // fenced off or handed over
@@ -45,6 +51,8 @@
 		tasks:     map[string]*run{},
 		found:     map[string]found{},
 		durations: map[string]float64{},
+		kept:      map[string]*batch{},
+		restored:  !config.Restoring,
 	}
 }
 
@@ -76,6 +84,12 @@
 		p.withdrawLink(m.Link)
 	case Raise:
 		p.fence = max(p.fence, m.Fence)
+	case Saved:
+		p.takeSaved(m)
+	case Cancel:
+		p.cancel(m.Job)
+	case Restored:
+		p.takeRestored()
 	case Tick:
 		p.tick()
 	case HandOver:
@@ -85,6 +99,7 @@
 	if !p.ended {
 		p.expire()
 		p.place()
+		p.saveChanged()
 		p.renew()
 	}
 	return p.effects
@@ -93,15 +108,21 @@
 // Idle says whether the pool has neither jobs nor runs.
 func (p *Pool) Idle() bool { return len(p.jobs) == 0 && len(p.tasks) == 0 }
 
-// Waiting returns the number of jobs of a route that have not started.
-func (p *Pool) Waiting(route string) int {
-	n := 0
+// Waiting returns the numbers of jobs that have not started, by route.
+func (p *Pool) Waiting() map[string]int {
+	waiting := map[string]int{}
 	for _, b := range p.queue {
-		if b.policy.Route == route && !b.started {
-			n++
+		if !b.started && !b.closed {
+			waiting[b.policy.Route]++
 		}
 	}
-	return n
+	return waiting
+}
+
+// Begun says whether a job is here of which a task may have started.
+func (p *Pool) Begun(id string) bool {
+	b := p.byID[id]
+	return b != nil && b.started
 }
 
 // Counts returns the numbers of jobs, of jobs with waiting tasks and of runs.
@@ -155,7 +176,7 @@
 const ReasonMoved = "moved"
 
 func (p *Pool) refuseAfterEnd(message Message) {
-	if m, ok := message.(Submit); ok {
+	if m, ok := message.(Submit); ok && !m.Kept {
 		if m.Resumed {
 			p.emit(Answer{m.Key, Moved{Progress: m.Progress}})
 			return
--- a/placement/random_test.go
+++ b/placement/random_test.go
@@ -102,6 +102,9 @@
 	h.load(knot, rate*0.25, 0, h.length)
 	h.load(grain, rate*0.05, 0, h.length)
 	h.load(quote, rate*0.7, 0, h.length)
+	if h.rand.IntN(2) == 0 {
+		h.keepJobs(rate * 0.3)
+	}
 	for range h.rand.IntN(8) {
 		switch h.rand.IntN(8) {
 		case 0:
@@ -134,6 +137,7 @@
 			h.t.Fatalf("job %s has no verdict 12 s after the end of the load", h.jobs[key].work.ID)
 		}
 	}
+	h.checkStored()
 	if jobs, _, runs := h.pool.(*Pool).Counts(); jobs > 0 || runs > 0 {
 		h.t.Fatalf("%d jobs and %d runs are left 12 s after the end of the load", jobs, runs)
 	}
--- a/placement/run.go
+++ b/placement/run.go
@@ -49,11 +49,12 @@
 	r.tries++
 	r.lease = p.extend(r.node)
 	p.emit(Start{worker.StartOrder{
-		Target: target(r.node),
-		Run:    worker.Run{Task: r.name, Number: r.number},
-		Spec:   r.batch.work.Spec,
-		Lease:  r.lease,
-		Fence:  p.fence,
+		Target:     target(r.node),
+		Run:        worker.Run{Task: r.name, Number: r.number},
+		Spec:       r.batch.work.Spec,
+		Lease:      r.lease,
+		Fence:      p.fence,
+		Checkpoint: r.batch.steps[r.step].tasks[r.index].resumeAt,
 	}})
 }
 
@@ -114,6 +115,7 @@
 	case worker.ReasonReborn:
 		p.loseAll(n, "worker restarted")
 		n.surveyed, n.handled, n.acked, n.born = false, 0, 0, 0
+		clear(n.pins)
 		return
 	case worker.ReasonOld:
 		r.batch.steps[r.step].tasks[r.index].runs += oldRunSkip
@@ -213,9 +215,18 @@
 	p.taskWaits(r.batch, r.step, r.index)
 }
 
+// checkpoint remembers from where a task goes on if its run ends early.
+func (p *Pool) checkpoint(r *run, value string) {
+	if value != "" && r.batch.work.Steps[r.step].Checkpointing {
+		r.batch.steps[r.step].tasks[r.index].resumeAt = value
+	}
+}
+
 // runEnded takes in a listed end.
-func (p *Pool) runEnded(r *run, outcome worker.Outcome) {
+func (p *Pool) runEnded(r *run, e worker.End) {
 	p.release(r)
+	p.checkpoint(r, e.Checkpoint)
+	outcome := e.Outcome
 	took := p.now.Sub(r.sent)
 	switch outcome {
 	case worker.Done:
@@ -226,6 +237,7 @@
 		if !r.batch.closed {
 			p.note("run-failed", r.batch.work.ID, r.node.ID, "", map[string]int64{"run": int64(r.number), "took-ms": ms(took)})
 		}
+		r.batch.steps[r.step].tasks[r.index].counted = r.number
 		p.strike(r.node, "run failed")
 		p.taskFailed(r.batch, r.step, r.index, r.node.ID)
 		return
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -50,6 +50,7 @@
 		f.explain(j.work.ID)
 		f.t.Fatalf("%v: two runs of task %s at a time, the second on %s", f.now.Sub(f.start), o.Task, w.ID)
 	}
+	f.checkStart(o)
 	f.alive[o.Task]++
 	f.begun[j.work.ID] = true
 	w.token++
@@ -90,6 +91,9 @@
 	if outcome != worker.Done {
 		f.wasted += f.now.Sub(r.began) * time.Duration(r.need.MilliCores) / 1000
 	}
+	if outcome == worker.Done {
+		f.done[task] = true
+	}
 	w.ended = append(w.ended, worker.End{Sequence: w.sequence, Run: worker.Run{Task: task, Number: r.number}, Outcome: outcome})
 	if w.waiting != nil {
 		w.waiting()
@@ -173,6 +177,7 @@
 			f.extend(w, o.Lease)
 		}
 		for len(w.ended) > 0 && w.ended[0].Sequence <= o.Acknowledged {
+			f.acknowledge(w.ended[0])
 			w.ended = w.ended[1:]
 		}
 		replied := false
@@ -187,7 +192,7 @@
 			for task, run := range w.runs {
 				progress := 0
 				if !w.stuck {
-					progress = int(100 * f.now.Sub(run.began) / max(run.length, 1))
+					progress = min(int(100*f.now.Sub(run.began)/max(run.length, 1)), 100)
 				}
 				r.Running = append(r.Running, worker.Running{Run: worker.Run{Task: task, Number: run.number}, Progress: progress})
 			}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -94,6 +94,7 @@
 		t.Fatal(err)
 	}
 	c := &cluster{t: t, dir: t.TempDir(), program: program, keys: standin.NewKeyspace(), watch: standin.NewRunWatch(), silent: make([]bool, workerCount)}
+	c.watch.Stored, c.watch.Attempts = isStored, attempts
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	l := listen(t)
 	storeAddress := l.Addr().String()
@@ -130,7 +131,7 @@
 
 // configure writes a configuration; each version adds a route.
 func (c *cluster) configure(version int) {
-	routes := []standin.Route{{Name: "r-0", Host: "cue.example", Prefix: "/cue/", Service: "cue", Attempts: 3, Target: 60 * time.Millisecond}}
+	routes := []standin.Route{{Name: "r-0", Host: "cue.example", Prefix: "/cue/", Service: "cue", Attempts: attempts, Target: 60 * time.Millisecond}}
 	for v := 2; v <= version; v++ {
 		routes = append(routes, standin.Route{Name: fmt.Sprintf("r-%d", v), Host: "cue.example", Prefix: fmt.Sprintf("/added-%d/", v), Service: "cue"})
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,7 @@
 	lateDone int
 	judging  bool
 	statuses map[string]int
+	stored   []*storedJob
 }
 
 // send runs one job as a client does: again under the same id after an answer that leaves the outcome open.
@@ -193,6 +194,14 @@
 			l.judging = true
 			l.mu.Unlock()
 		}
+		if l.rand.IntN(4) == 0 {
+			first, counts, ms, cancel := l.rand.IntN(vmCount), []int{1 + l.rand.IntN(3), 1 + l.rand.IntN(2)}, 40+l.rand.IntN(300), l.rand.IntN(10) == 0
+			group.Go(func() error {
+				l.sendStored(sequence, first, counts, ms, cancel)
+				return nil
+			})
+			continue
+		}
 		first, tasks, ms := l.rand.IntN(vmCount), 1+l.rand.IntN(4), 40+l.rand.IntN(300)
 		group.Go(func() error {
 			l.send(sequence, first, tasks, ms)
@@ -203,6 +212,7 @@
 	if err := group.Wait(); err != nil {
 		c.fail("faults: %v", err)
 	}
+	l.checkStored()
 	return l
 }
 
--- a/standin/keyspace.go
+++ b/standin/keyspace.go
@@ -78,6 +78,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.revision++
 	k.set(key, data)
 	return k.revision, nil
 }
@@ -86,6 +87,7 @@
 func (k *Keyspace) Drop(key string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.revision++
 	k.remove(key)
 }
 
@@ -112,7 +114,6 @@
 }
 
 func (k *Keyspace) set(key string, value []byte) {
-	k.revision++
 	item := keyspaceItem{Key: key, Value: value, Revision: k.revision, Created: k.items[key].Created}
 	if item.Created == 0 {
 		item.Created = k.revision
@@ -125,7 +126,6 @@
 	if _, ok := k.items[key]; !ok {
 		return
 	}
-	k.revision++
 	delete(k.items, key)
 	k.record(keyspaceItem{Key: key, Revision: k.revision, Removed: true})
 }
@@ -151,6 +151,8 @@
 		return
 	}
 	switch string(ctx.Path()) {
+	case "/v1/kv-key":
+		k.getKey(ctx)
 	case "/v1/kv-range":
 		k.rangeKeys(ctx)
 	case "/v1/kv-watch":
@@ -165,6 +167,18 @@
 // silence is how long a connection is held open that gets no answer.
 const silence = 3 * time.Second
 
+func (k *Keyspace) getKey(ctx *fasthttp.RequestCtx) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	item, ok := k.items[string(ctx.QueryArgs().Peek("key"))]
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	replyJSON(ctx, item)
+}
+
 func (k *Keyspace) rangeKeys(ctx *fasthttp.RequestCtx) {
 	prefix, after := string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after"))
 	k.mu.Lock()
@@ -251,6 +265,7 @@
 				return 0, false
 			}
 		}
+		k.revision++ // one for all keys of the transaction
 		for _, s := range t.Set {
 			k.set(s.Key, s.Value)
 		}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -33,17 +33,26 @@
 	Slow  float64 // run times are multiplied by it, 0 for 1
 }
 
-// RunWatch checks over all workers of a system that no task has two runs at a time.
+// RunWatch checks over all workers of a system that no task has two runs at a time, and that a task of a stored job does
+// not start after its end was acknowledged or after too many failed runs.
 type RunWatch struct {
+	Stored   func(job string) bool // says whether the job with the id is stored; nil for none
+	Attempts int                   // failed runs after which a task of a stored job must not start, 0 for any number
+
 	mu      sync.Mutex
 	alive   map[string]string
 	started map[string]bool
+	done    map[string]bool // tasks that have ended so
+	noted   map[string]bool // tasks whose end as done was acknowledged
+	failed  map[string]int  // failed runs that were acknowledged, by task
 	faults  []string
 }
 
 // NewRunWatch returns a RunWatch that has seen nothing.
 func NewRunWatch() *RunWatch {
-	return &RunWatch{alive: map[string]string{}, started: map[string]bool{}}
+	return &RunWatch{
+		alive: map[string]string{}, started: map[string]bool{}, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{},
+	}
 }
 
 func (w *RunWatch) begin(task, where string) {
@@ -55,11 +64,53 @@
 	w.alive[task] = where
 	job, _, _ := strings.Cut(task, ".")
 	w.started[job] = true
+	if w.Stored == nil || !w.Stored(job) {
+		return
+	}
+	now := time.Now().Format("15:04:05.000")
+	if w.noted[task] {
+		w.faults = append(w.faults, fmt.Sprintf("%s: task %s starts on %s after its end was acknowledged", now, task, where))
+	}
+	if w.Attempts > 0 && w.failed[task] >= w.Attempts {
+		w.faults = append(w.faults, fmt.Sprintf("%s: task %s starts on %s after %d failed runs", now, task, where, w.failed[task]))
+	}
+}
+
+// acknowledged notes that the system has taken note of an end.
+func (w *RunWatch) acknowledged(task, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch how {
+	case "done":
+		w.noted[task] = true
+	case "failed":
+		w.failed[task]++
+	}
+}
+
+// Done returns the number of tasks of a job that have ended as done, and the most failed runs of one of its tasks.
+func (w *RunWatch) Done(job string) (done, failed int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task := range w.done {
+		if strings.HasPrefix(task, job+".") {
+			done++
+		}
+	}
+	for task, n := range w.failed {
+		if strings.HasPrefix(task, job+".") {
+			failed = max(failed, n)
+		}
+	}
+	return done, failed
 }
 
-func (w *RunWatch) end(task, where string) {
+func (w *RunWatch) end(task, where, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if how == "done" {
+		w.done[task] = true
+	}
 	if w.alive[task] == where {
 		delete(w.alive, task)
 	}
@@ -120,7 +171,7 @@
 func (w *Worker) reset() {
 	w.born = time.Now()
 	for task := range w.runs {
-		w.config.Watcher.end(task, w.config.ID)
+		w.config.Watcher.end(task, w.config.ID, "lost")
 	}
 	w.runs, w.highest, w.ended, w.sequence, w.fence, w.lease = map[string]*workerRun{}, map[string]int{}, nil, 0, 0, 0
 }
@@ -269,7 +320,7 @@
 		return
 	}
 	delete(w.runs, task)
-	w.config.Watcher.end(task, w.config.ID)
+	w.config.Watcher.end(task, w.config.ID, how)
 	w.highest[task] = max(w.highest[task], run.number)
 	w.sequence++
 	w.ended = append(w.ended, workerEnd{w.sequence, task, run.number, how})
@@ -326,6 +377,7 @@
 		w.extend(o)
 	}
 	for len(w.ended) > 0 && w.ended[0].sequence <= o.Through {
+		w.config.Watcher.acknowledged(w.ended[0].task, w.ended[0].how)
 		w.ended = w.ended[1:]
 	}
 	for over := o.WaitMS == 0; len(w.ended) == 0 && !over; {
--- a/store/keyspace.go
+++ b/store/keyspace.go
@@ -52,6 +52,10 @@
 
 // Keyspace is a key-value service with a revision that counts all changes.
 type Keyspace interface {
+	// Get returns a key; ErrNotFound means that it does not exist.
+	Get(ctx context.Context, key string) (Item, error)
+	// Peek is a cheap Get whose answer may be some seconds old.
+	Peek(ctx context.Context, key string) (Item, error)
 	// Range returns the keys with a prefix.
 	Range(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch waits until a key with the prefix changes after a revision, at most for the given time.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
 // Resources is an amount of processor, memory and accelerators.
 type Resources struct {
-	MilliCores   int // thousandths of a core
-	MemoryMiB    int
-	Accelerators int
+	MilliCores   int `json:"milli-cores,omitempty"` // thousandths of a core
+	MemoryMiB    int `json:"memory-mib,omitempty"`
+	Accelerators int `json:"accelerators,omitempty"`
 }
 
 // Fits says whether the amount fits into the free amount.
@@ -40,6 +41,9 @@
 	Born     int64 // start of this incarnation in Unix milliseconds, 0 when the list does not say
 }
 
+// Labelled says whether the worker has a label.
+func (w Worker) Labelled(label string) bool { return slices.Contains(w.Labels, label) }
+
 // Outcome says how a run ended.
 type Outcome uint8
 
