Refuse stored jobs early when they cannot end on time or the store is away

Change: a job is refused when it is not expected to end by its objective; while the store does not take writes, one job at a time tries and the others are refused at once; a write without an answer does not hold up the jobs behind it.

--- /dev/null
+++ b/gateway/accepts_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/store"
+)
+
+// simKeys is a store whose writes take a while, conflict or fail.
+type simKeys struct {
+	store.Keyspace
+	mu     sync.Mutex
+	keys   map[string]bool
+	writes int
+	stuck  int // writes whose answer is lost
+	down   bool
+}
+
+func (s *simKeys) Commit(_ context.Context, t store.Transaction) (int64, error) {
+	s.mu.Lock()
+	s.writes++
+	stuck := s.stuck > 0
+	if stuck {
+		s.stuck--
+	}
+	down := s.down
+	s.mu.Unlock()
+	time.Sleep(4 * time.Millisecond)
+	switch {
+	case down:
+		return 0, store.ErrNoEffect
+	case stuck:
+		time.Sleep(300 * time.Millisecond)
+		return 0, errors.New("no answer")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Expect {
+		if s.keys[c.Key] {
+			return 0, store.ErrConflict
+		}
+	}
+	for _, i := range t.Set {
+		s.keys[i.Key] = true
+	}
+	return int64(s.writes), nil
+}
+
+func acceptOf(key string) store.Transaction {
+	return store.Transaction{Expect: []store.Condition{{Key: key}}, Set: []store.Item{{Key: key}}}
+}
+
+// Guards against a write for each job at a peak, and against a job that is there already and keeps others out of its write.
+func TestAcceptsShareWrites(t *testing.T) {
+	is := is.New(t)
+	keys := &simKeys{keys: map[string]bool{"a": true}}
+	a := &accepts{keys: keys}
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	errs := make([]error, len(names))
+	var group errgroup.Group
+	for i, name := range names {
+		group.Go(func() error {
+			_, errs[i] = a.commit(context.Background(), acceptOf(name))
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	is.True(errors.Is(errs[0], store.ErrConflict))
+	for _, err := range errs[1:] {
+		is.NoErr(err)
+	}
+	is.True(keys.writes <= 1+1+len(names)) // the first alone, the others together, each again after the conflict
+}
+
+// Guards against jobs that wait behind a write whose answer is lost.
+func TestAcceptsDoNotWaitForALostAnswer(t *testing.T) {
+	is := is.New(t)
+	a := &accepts{keys: &simKeys{keys: map[string]bool{}, stuck: 1}}
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := a.commit(context.Background(), acceptOf("a"))
+		if err == nil || errors.Is(err, store.ErrNoEffect) {
+			t.Error("the lost write must have an open outcome:", err)
+		}
+		return nil
+	})
+	time.Sleep(2 * writeTime)
+	began := time.Now()
+	_, err := a.commit(context.Background(), acceptOf("b"))
+	is.NoErr(err)
+	is.True(time.Since(began) < 150*time.Millisecond)
+	is.NoErr(group.Wait())
+}
+
+// Guards against callers who are held while the store takes no writes, and against refusals after it is back.
+func TestAcceptsRefuseWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	keys := &simKeys{keys: map[string]bool{}, down: true}
+	a := &accepts{keys: keys}
+	for range failuresAway {
+		_, err := a.commit(context.Background(), acceptOf("a"))
+		is.True(errors.Is(err, store.ErrNoEffect))
+	}
+	before := keys.writes
+	_, err := a.commit(context.Background(), acceptOf("a"))
+	is.True(errors.Is(err, ErrStoreAway) && errors.Is(err, store.ErrNoEffect)) // refused, and truly not sent
+	is.Equal(keys.writes, before)
+	keys.mu.Lock()
+	keys.down = false
+	keys.mu.Unlock()
+	time.Sleep(acceptRest + 10*time.Millisecond)
+	_, err = a.commit(context.Background(), acceptOf("a"))
+	is.NoErr(err)
+	_, err = a.commit(context.Background(), acceptOf("b"))
+	is.NoErr(err)
+}
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -59,13 +59,12 @@
 func (Accepted) reply() {}
 
 const (
-	// worthlessFactor is the multiple of the objective after which the end of a job is worth nothing to its caller; a job
-	// that would end later is refused, so that its caller can go elsewhere.
-	worthlessFactor = 3
+	// admitFactor is the multiple of the objective by which a job must be expected to end; others are refused.
+	admitFactor = 1.0
 	// acceptRetry is the pause between two tries to store a job.
 	acceptRetry = 60 * time.Millisecond
 	// acceptTime bounds the tries to store a job that certainly is not stored yet.
-	acceptTime = 800 * time.Millisecond
+	acceptTime = 250 * time.Millisecond
 )
 
 // Keep stores a job that is to be run; it returns an Accepted, a Refused or an Undecided.
@@ -118,6 +117,8 @@
 			}
 		case !errors.Is(err, store.ErrNoEffect):
 			open = true
+		case errors.Is(err, ErrStoreAway) && !open:
+			return Refused{Reason: ErrStoreAway.Error(), RetryAfter: time.Second}
 		}
 		left := time.Until(deadline)
 		switch {
@@ -153,7 +154,7 @@
 	if len(options) == 0 {
 		return "", Refused{Reason: "no worker can run the job", RetryAfter: g.config.Rules.MaxRefusalWait}
 	}
-	if late := least + chainOf(s.Work) - worthlessFactor*objective; late > 0 && least > noWorkerCost {
+	if late := least + chainOf(s.Work) - time.Duration(admitFactor*float64(objective)); late > 0 {
 		return "", Refused{Reason: "the job would end far too late", RetryAfter: min(late, g.config.Rules.MaxRefusalWait)}
 	}
 	return choose(options, g.settings.Zone, rand.Float64()), Refused{}
