Run tasks that last

Cause: jobs with long_running steps were refused.

Change: a task that lasts starts again however its run ends, without a limit of attempts and without blame for its worker; its room is not expected to become free; it is never moved for being slow. On a draining worker lasting tasks are stopped as few at a time as max_disrupted says, once another worker has room. A holder tells the other VMs which jobs last, so that the next one does not stop their runs before it has read the stored jobs. An order to stop that is lost is sent again: a task that lasts does not end by itself.

Ruled out: telling lasting runs from others by their run number (a number must begin at 1), and a longer time for all runs of an earlier holder (a best-effort job is sent again after 1.3 s and would run twice).

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -129,6 +129,13 @@
 	return d.pool.Waiting()
 }
 
+// lastingJobs returns the jobs with tasks that last.
+func (d *driver) lastingJobs() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pool.Lasting()
+}
+
 func (d *driver) begun(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	claimed     map[string]time.Time  // last claim by group
 	outranked   map[string]outranked  // by group
 	loads       map[string]map[string]placement.Load
+	lasting     map[string][]string       // jobs with tasks that last, by group
 	waiting     map[string]map[string]int // jobs that have not begun, by group and route
 	seen        map[string]time.Time      // since when a group without a holder is known
 	newest      int64                     // configuration of which another VM has told ...
@@ -66,7 +67,7 @@
 	log := config.Log.With().Str("vm", self.VM).Logger()
 	return &Gateway{
 		config: config, settings: config.Settings, log: log, self: self,
-		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{},
+		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{}, lasting: map[string][]string{},
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
 		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]offer{},
@@ -198,7 +199,7 @@
 				continue
 			}
 			loads := d.loads()
-			beat.Holds = append(beat.Holds, peer.Holding{Group: d.group, Fence: d.fenceNow(), Loads: loads, Waiting: d.waitingJobs()})
+			beat.Holds = append(beat.Holds, peer.Holding{Group: d.group, Fence: d.fenceNow(), Loads: loads, Waiting: d.waitingJobs(), Lasting: d.lastingJobs()})
 			g.setLoads(d.group, loads)
 		}
 		g.send(beat)
@@ -252,6 +253,13 @@
 	}
 }
 
+// lastingOf returns the jobs with tasks that last in a group, as its holder has told last.
+func (g *Gateway) lastingOf(group string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lasting[group]
+}
+
 func (g *Gateway) setLoads(group string, loads map[string]placement.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -154,7 +154,7 @@
 	if len(options) == 0 {
 		return "", Refused{Reason: "no worker can run the job", RetryAfter: g.config.Rules.MaxRefusalWait}
 	}
-	if late := least + chainOf(s.Work) - time.Duration(admitFactor*float64(objective)); late > 0 {
+	if late := least + chainOf(s.Work) - time.Duration(admitFactor*float64(objective)); late > 0 && !s.Work.Lasts() {
 		return "", Refused{Reason: "the job would end far too late", RetryAfter: min(late, g.config.Rules.MaxRefusalWait)}
 	}
 	return choose(options, g.settings.Zone, rand.Float64()), Refused{}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -196,6 +196,7 @@
 			l.holds[h.Group] = h.Fence
 			g.loads[h.Group] = h.Loads
 			g.waiting[h.Group] = h.Waiting
+			g.lasting[h.Group] = h.Lasting
 		}
 		changed := !maps.Equal(l.holds, before)
 		g.mu.Unlock()
--- a/job/work.go
+++ b/job/work.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,8 @@
 	DataRack      string           `json:"data-rack,omitempty"`      // rack on which the tasks run fastest
 	MaxPerWorker  int              `json:"max-per-worker,omitempty"` // most tasks of the step on one worker at a time, 0 for any number
 	Checkpointing bool             `json:"checkpointing,omitempty"`  // a task that ends early can go on from its newest checkpoint
+	Lasting       bool             `json:"lasting,omitempty"`        // the tasks run until the work is cancelled and start again however they end
+	MaxDisrupted  int              `json:"max-disrupted,omitempty"`  // most tasks of a lasting step that may be away by the dispatcher's doing
 	Unsupported   string           `json:"unsupported,omitempty"`    // feature of the step that this dispatcher does not offer
 }
 
@@ -29,6 +32,11 @@
 	BestEffort bool   `json:"best-effort,omitempty"` // the caller waits for the end, and nothing is stored; otherwise the job outlives every VM
 }
 
+// Lasts says whether the work has a step that lasts.
+func (w Work) Lasts() bool {
+	return slices.ContainsFunc(w.Steps, func(s Step) bool { return s.Lasting })
+}
+
 // Policy is what the configuration says about the work of a route.
 type Policy struct {
 	Route       string        `json:"route,omitempty"`
--- a/peer/message.go
+++ b/peer/message.go
@@ -25,6 +25,7 @@
 	Fence   int64
 	Loads   map[string]placement.Load // by service
 	Waiting map[string]int            // jobs that have not begun, by route
+	Lasting []string                  // jobs with tasks that last
 }
 
 // Heartbeat tells that a VM lives, what it holds and what it knows.
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/worker"
 )
 
@@ -73,6 +74,9 @@
 		if f.ending || p.now.Before(f.until) {
 			continue
 		}
+		if id, _, _, _ := job.ParseTaskName(name); !p.restored && p.lasting[id] {
+			continue
+		}
 		left++
 		if f.done {
 			if p.restored {
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -165,6 +165,9 @@
 	}
 	ideal := time.Duration(float64(p.chain(b)) * max(b.policy.Stretch, 1))
 	b.objective = b.arrived.Add(ideal + b.policy.Target)
+	if m.Work.Lasts() {
+		b.objective = b.arrived.Add(b.policy.Target) // each moment that its tasks are not at work counts
+	}
 	b.order = p.rank(b)
 	return b
 }
--- a/placement/health.go
+++ b/placement/health.go
@@ -91,7 +91,7 @@
 		r.confirmed = p.now
 	}
 	r.progress = max(r.progress, progress)
-	if r.stopping || p.now.Before(r.judgeAt) {
+	if r.stopping || r.lasting() || p.now.Before(r.judgeAt) {
 		return
 	}
 	elapsed := p.now.Sub(r.sent)
@@ -129,8 +129,14 @@
 	return max(p.expected(b, step), b.work.Steps[step].Estimate, time.Duration(known))
 }
 
+// lastingTime stands for the run time of a task that lasts: its room is not expected to become free.
+const lastingTime = time.Hour
+
 // expected returns the expected run time of a task of the step on a sound worker.
 func (p *Pool) expected(b *batch, step int) time.Duration {
+	if b.work.Steps[step].Lasting {
+		return lastingTime
+	}
 	declared := float64(b.work.Steps[step].Estimate)
 	known, ok := p.durations[b.policy.Route]
 	if !ok || len(b.work.Steps) > 1 {
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -90,10 +90,10 @@
 	if e.Outcome != worker.Done && e.Outcome != worker.Failed {
 		return
 	}
-	id, _, _, ok := job.ParseTaskName(e.Task)
+	id, step, _, ok := job.ParseTaskName(e.Task)
 	b := p.kept[id]
-	if !ok || b == nil {
-		return
+	if !ok || b == nil || step < len(b.steps) && b.work.Steps[step].Lasting {
+		return // a task that lasts starts again however it ends
 	}
 	if !b.closed {
 		b.version++ // the end of a job is its last version
@@ -118,7 +118,7 @@
 		return
 	}
 	b, i, j := p.locate(e.Task)
-	if b == nil || !b.kept {
+	if b == nil || !b.kept || b.work.Steps[i].Lasting {
 		return
 	}
 	t := &b.steps[i].tasks[j]
@@ -208,6 +208,8 @@
 func (p *Pool) lateness(b *batch) int {
 	end := p.now.Add(p.chain(b))
 	switch {
+	case b.work.Lasts():
+		return 0
 	case !end.After(b.objective):
 		return 0
 	case b.kept && end.After(b.objective.Add((lateFactor-1)*b.objective.Sub(b.arrived))):
@@ -218,3 +220,53 @@
 
 // lateFactor is the multiple of the objective after which the end of a job is worth nothing to its caller.
 const lateFactor = 3
+
+func (r *run) lasting() bool { return r.batch.work.Steps[r.step].Lasting }
+
+// lastingStarted notes the number of a run, which the next holder must exceed.
+func (p *Pool) lastingStarted(r *run) {
+	if r.lasting() && r.batch.kept {
+		r.batch.version++
+		p.changeKept(r.batch)
+	}
+}
+
+// leaveDraining stops lasting tasks on workers that are about to leave, a few of each step at a time, so that they start
+// elsewhere before the worker ends them all at once.
+func (p *Pool) leaveDraining() {
+	for _, n := range p.order {
+		if !n.Draining {
+			continue
+		}
+		for _, r := range n.sortedRuns() {
+			if !r.lasting() || r.stopping || r.batch.closed {
+				continue
+			}
+			if p.away(r.batch, r.step) < max(r.batch.work.Steps[r.step].MaxDisrupted, 1) && p.elsewhere(r) {
+				p.note("run-moved", r.batch.work.ID, n.ID, "worker is draining", map[string]int64{"run": int64(r.number)})
+				p.stopRun(r)
+			}
+		}
+	}
+}
+
+// away returns the number of tasks of a step that are not at work.
+func (p *Pool) away(b *batch, i int) int {
+	away := 0
+	for j := range b.steps[i].tasks {
+		if r := p.tasks[b.name(i, j)]; r == nil || r.stopping || r.progress < 100 {
+			away++
+		}
+	}
+	return away
+}
+
+// elsewhere says whether another worker has room for the task of a run.
+func (p *Pool) elsewhere(r *run) bool {
+	for _, n := range p.order {
+		if n != r.node && p.open(n) && r.need.Fits(n.free) && p.allowed(r.batch, r.step, n) {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/node.go
+++ b/placement/node.go
@@ -337,6 +337,9 @@
 		switch {
 		case running:
 			p.checkpoint(r, row.Checkpoint)
+			if r.stopping && m.Sent.Sub(r.stopAt) > p.rules.ProbeInterval {
+				p.sendStop(r) // the order to stop was lost
+			}
 			p.observe(r, row.Progress)
 		case r.confirmed.IsZero() && m.Report.Clock <= r.lease:
 			// The start has no answer yet and may still be carried out.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -13,6 +13,9 @@
 	Partial bool
 	// Restoring says that stored jobs of the group are still being read; Restored ends it.
 	Restoring bool
+	// Lasting are jobs with tasks that last, as far as the earlier holder has told: their runs are not stopped while the
+	// stored jobs are being read.
+	Lasting []string
 }
 
 // Pool is the state of one group of workers under one holder. It is not safe for concurrent use.
@@ -33,7 +36,8 @@
 	kept      map[string]*batch // stored jobs until their end is stored
 	changed   []*batch          // stored jobs with something new to store
 	listed    []listedEnd
-	restored  bool // the stored jobs of the group are known
+	lasting   map[string]bool // of the earlier holder, until the stored jobs are known
+	restored  bool            // the stored jobs of the group are known
 	effects   []Effect
 	unsorted  bool
 	ended     bool // fenced off or handed over
@@ -41,7 +45,7 @@
 
 // New returns a Pool without workers.
 func New(config Config) *Pool {
-	return &Pool{
+	p := &Pool{
 		fence:     config.Fence,
 		partial:   config.Partial,
 		rules:     config.Rules,
@@ -53,7 +57,12 @@
 		durations: map[string]float64{},
 		kept:      map[string]*batch{},
 		restored:  !config.Restoring,
+		lasting:   map[string]bool{},
 	}
+	for _, id := range config.Lasting {
+		p.lasting[id] = true
+	}
+	return p
 }
 
 // Step takes a message and returns what follows from it.
@@ -125,6 +134,17 @@
 	return b != nil && b.started
 }
 
+// Lasting returns the ids of the jobs with tasks that last.
+func (p *Pool) Lasting() []string {
+	var ids []string
+	for id, b := range p.kept {
+		if b.work.Lasts() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Counts returns the numbers of jobs, of jobs with waiting tasks and of runs.
 func (p *Pool) Counts() (jobs, queued, runs int) { return len(p.byID), len(p.queue), len(p.tasks) }
 
@@ -142,6 +162,7 @@
 		p.lapse(n)
 	}
 	p.forgetGone()
+	p.leaveDraining()
 	p.endAdoption()
 }
 
--- a/placement/run.go
+++ b/placement/run.go
@@ -23,6 +23,7 @@
 	progress  int
 	judgeAt   time.Time // when its progress is compared with the expected time
 	stopping  bool
+	stopAt    time.Time // of the last order to stop
 	moving    bool // stopped since its worker is slow
 }
 
@@ -42,6 +43,7 @@
 	n.runs[r.name] = r
 	p.tasks[r.name] = r
 	n.free = n.free.Minus(r.need)
+	p.lastingStarted(r)
 	p.sendStart(r)
 }
 
@@ -165,6 +167,7 @@
 }
 
 func (p *Pool) sendStop(r *run) {
+	r.stopAt = p.now
 	p.emit(Stop{worker.StopOrder{Target: target(r.node), Run: worker.Run{Task: r.name, Number: r.number}, Fence: p.fence}})
 }
 
@@ -227,6 +230,9 @@
 	p.release(r)
 	p.checkpoint(r, e.Checkpoint)
 	outcome := e.Outcome
+	if r.lasting() {
+		outcome = worker.Stopped // whatever the end, the task starts again
+	}
 	took := p.now.Sub(r.sent)
 	switch outcome {
 	case worker.Done:
@@ -245,6 +251,6 @@
 	if r.batch.closed {
 		return
 	}
-	p.note("run-ended", r.batch.work.ID, r.node.ID, outcome.String(), map[string]int64{"run": int64(r.number)})
+	p.note("run-ended", r.batch.work.ID, r.node.ID, e.Outcome.String(), map[string]int64{"run": int64(r.number)})
 	p.taskWaits(r.batch, r.step, r.index)
 }
