Run scheduled jobs

Cause: jobs with repeat_count were refused.

The pool starts no task before the time, and the timer of the holder wakes it then.

Ruled out: one record for all occurrences (its progress grows with each and is written with every end).

Test: four occurrences of two tasks on real processes, all VMs killed after the second; none early, late or twice, and the job completed.

--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -36,9 +36,10 @@
 	d *driver
 
 	mu       sync.Mutex
-	restored int64        // revision as of which the jobs were read, 0 before that
-	early    []store.Item // that came before the jobs were read
-	jobs     map[string]*storedJob
+	restored int64                 // revision as of which the jobs were read, 0 before that
+	early    []store.Item          // that came before the jobs were read
+	jobs     map[string]*storedJob // by the id under which the pool has them
+	series   map[string]*storedJob // scheduled jobs, which the pool does not have
 	ended    map[string]time.Time
 	saves    map[string]placement.Save // to be written, by job
 	wake     chan struct{}
@@ -49,11 +50,12 @@
 type storedJob struct {
 	openJob
 	revision int64
+	name     string // of the key behind its prefix
 }
 
 func newKeeper(g *Gateway, d *driver) *keeper {
 	return &keeper{
-		g: g, d: d, jobs: map[string]*storedJob{}, ended: map[string]time.Time{}, saves: map[string]placement.Save{}, wake: make(chan struct{}, 1),
+		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{}, saves: map[string]placement.Save{}, wake: make(chan struct{}, 1),
 		interval: saveInterval,
 	}
 }
@@ -86,6 +88,7 @@
 			k.write(ctx, batch)
 			pause(ctx, k.interval)
 		}
+		k.schedule(ctx)
 		if time.Since(swept) > sweepInterval {
 			swept = time.Now()
 			k.sweep(ctx)
@@ -122,17 +125,22 @@
 		return
 	}
 	// A job that was written before the jobs were read and was not among them has ended since.
-	stale := item.Revision <= k.restored && k.jobs[jobOf(item.Key)] == nil
+	name := nameOf(item.Key)
+	stale := item.Revision <= k.restored && k.jobs[poolID(name)] == nil && k.series[name] == nil
 	k.mu.Unlock()
 	if !stale {
 		k.add(ctx, item, false)
 	}
 }
 
-func jobOf(key string) string { return strings.TrimPrefix(key, openPrefix) }
+func nameOf(key string) string { return strings.TrimPrefix(key, openPrefix) }
+
+// poolID returns the id under which the pool has the job of a key. An occurrence has a key of its own, and the tasks of the
+// first one are named like those of a job without a schedule.
+func poolID(name string) string { return strings.TrimSuffix(name, ".0") }
 
 func (k *keeper) add(ctx context.Context, item store.Item, resumed bool) bool {
-	id := jobOf(item.Key)
+	name := nameOf(item.Key)
 	var open openJob
 	if err := json.Unmarshal(item.Value, &open); err != nil {
 		k.g.log.Error().Str("event", "job-malformed").Str("key", item.Key).Err(err).Msg("stored job cannot be read")
@@ -141,31 +149,50 @@
 	if open.Group != k.d.group {
 		return false
 	}
+	scheduled := open.Work.Schedule.Count > 0
+	jobs, id := k.jobs, poolID(name)
+	if scheduled {
+		jobs, id = k.series, name
+	}
 	k.mu.Lock()
-	known := k.jobs[id]
-	if _, over := k.ended[id]; over || known != nil && known.revision >= item.Revision {
+	known := jobs[id]
+	if _, over := k.ended[name]; over || known != nil && known.revision >= item.Revision {
 		k.mu.Unlock()
 		return false
 	}
 	if known != nil {
 		known.revision, known.Cancelled = item.Revision, open.Cancelled
 	} else {
-		k.jobs[id] = &storedJob{openJob: open, revision: item.Revision}
+		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
 	}
 	k.mu.Unlock()
-	if known == nil {
-		m := placement.Submit{Work: open.Work, Policy: open.Policy, Age: min(max(time.Since(open.Accepted), 0), time.Hour), Resumed: resumed, Kept: true}
-		if open.Progress != nil {
-			m.Progress = *open.Progress
-		}
-		k.d.apply(ctx, m)
+	switch {
+	case scheduled:
+		k.nudge()
+	case known == nil:
+		k.submit(ctx, open, resumed)
 	}
-	if open.Cancelled {
+	if open.Cancelled && !scheduled {
 		k.d.apply(ctx, placement.Cancel{Job: id})
 	}
 	return true
 }
 
+// submit hands a job to the pool.
+func (k *keeper) submit(ctx context.Context, open openJob, resumed bool) {
+	age := time.Since(open.Accepted)
+	m := placement.Submit{
+		Work: open.Work, Policy: open.Policy, Age: min(max(age, -scheduleLead), time.Hour), Wait: max(-age, 0), Resumed: resumed, Kept: true,
+	}
+	if open.Progress != nil {
+		m.Progress = *open.Progress
+	}
+	k.d.apply(ctx, m)
+	if m.Wait > 0 {
+		time.AfterFunc(m.Wait, func() { k.d.apply(ctx, placement.Tick{}) })
+	}
+}
+
 // save takes a request of the pool to write what is known of a job.
 func (k *keeper) save(s placement.Save) {
 	k.mu.Lock()
@@ -236,19 +263,19 @@
 		if j == nil {
 			continue
 		}
-		t.Expect = append(t.Expect, store.Condition{Key: openPrefix + s.Job, Revision: j.revision})
+		t.Expect = append(t.Expect, store.Condition{Key: openPrefix + j.name, Revision: j.revision})
 		if s.State != placement.KeptOpen {
 			value, err := json.Marshal(endedJob{Group: k.d.group, State: keptStates[s.State], Ended: time.Now()})
 			errs = errors.Join(errs, err)
-			t.Remove = append(t.Remove, openPrefix+s.Job)
-			t.Set = append(t.Set, store.Item{Key: endedPrefix + s.Job, Value: value})
+			t.Remove = append(t.Remove, openPrefix+j.name)
+			t.Set = append(t.Set, store.Item{Key: endedPrefix + j.name, Value: value})
 			continue
 		}
 		next := j.openJob
 		next.Progress = &s.Progress
 		value, err := json.Marshal(next)
 		errs = errors.Join(errs, err)
-		t.Set = append(t.Set, store.Item{Key: openPrefix + s.Job, Value: value})
+		t.Set = append(t.Set, store.Item{Key: openPrefix + j.name, Value: value})
 	}
 	k.mu.Unlock()
 	if errs != nil {
@@ -260,9 +287,10 @@
 		k.interval = max(k.interval-k.interval/8, saveInterval)
 		over := peer.Over{States: map[string]string{}}
 		for _, s := range batch {
+			name := k.nameOf(s.Job)
 			k.saved(ctx, s, revision)
 			if s.State != placement.KeptOpen {
-				over.States[s.Job] = string(keptStates[s.State])
+				over.States[name] = string(keptStates[s.State])
 			}
 		}
 		if len(over.States) > 0 {
@@ -279,9 +307,9 @@
 	}
 	for _, s := range batch {
 		k.mu.Lock()
-		_, over := k.ended[s.Job]
+		open := k.jobs[s.Job] != nil
 		k.mu.Unlock()
-		if !over {
+		if open {
 			k.save(s)
 		}
 	}
@@ -295,9 +323,9 @@
 	case s.State != placement.KeptOpen:
 		delete(k.jobs, s.Job)
 		delete(k.saves, s.Job)
-		k.ended[s.Job] = time.Now()
 		if j != nil {
-			k.g.finals.put(s.Job, keptStates[s.State])
+			k.ended[j.name] = time.Now()
+			k.g.finals.put(j.name, keptStates[s.State])
 			k.g.log.Info().Str("event", "job-ended").Str("job", s.Job).Str("group", k.d.group).Str("state", string(keptStates[s.State])).
 				Int64("age-ms", time.Since(j.Accepted).Milliseconds()).Send()
 		}
@@ -313,12 +341,25 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	j := k.jobs[id]
-	return j != nil, j != nil && j.Cancelled
+	if j == nil || j.name != id {
+		return false, false // an occurrence of a scheduled job
+	}
+	return true, j.Cancelled
+}
+
+// nameOf returns the name of the key of a job of the pool.
+func (k *keeper) nameOf(id string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j := k.jobs[id]; j != nil {
+		return j.name
+	}
+	return id
 }
 
 // refresh reads a job anew after a write that had no effect or has no known outcome.
 func (k *keeper) refresh(ctx context.Context, s placement.Save) {
-	item, err := k.g.config.Store.Get(ctx, openPrefix+s.Job)
+	item, err := k.g.config.Store.Get(ctx, openPrefix+k.nameOf(s.Job))
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		// Only the holder ends a job, so this VM has done so.
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -44,6 +44,7 @@
 	Policy    job.Policy          `json:"policy"`
 	Work      job.Work            `json:"work"`
 	Progress  *placement.Progress `json:"progress,omitempty"`
+	Next      int                 `json:"next,omitempty"` // occurrences of a scheduled job that have been begun
 }
 
 // endedJob is what the store has of a job that has ended.
@@ -154,7 +155,7 @@
 	if len(options) == 0 {
 		return "", Refused{Reason: "no worker can run the job", RetryAfter: g.config.Rules.MaxRefusalWait}
 	}
-	if late := least + chainOf(s.Work) - time.Duration(admitFactor*float64(objective)); late > 0 && !s.Work.Lasts() {
+	if late := least + chainOf(s.Work) - time.Duration(admitFactor*float64(objective)); late > 0 && !s.Work.Lasts() && s.Work.Schedule.Count == 0 {
 		return "", Refused{Reason: "the job would end far too late", RetryAfter: min(late, g.config.Rules.MaxRefusalWait)}
 	}
 	return choose(options, g.settings.Zone, rand.Float64()), Refused{}
@@ -305,9 +306,12 @@
 
 // progressOf tells a job that waits from one that runs: its holder knows, and the store once a task has ended.
 func (g *Gateway) progressOf(ctx context.Context, id string, open openJob) JobState {
-	if open.Progress != nil {
+	if open.Progress != nil || open.Next > 0 && !time.Now().Before(open.Work.Schedule.First) {
 		return JobRunning
 	}
+	if open.Work.Schedule.Count > 0 {
+		return JobQueued
+	}
 	h := g.holderOf(open.Group)
 	switch {
 	case h == nil:
--- a/job/work.go
+++ b/job/work.go
@@ -26,10 +26,11 @@
 
 // Work is a submission whose tasks run on workers.
 type Work struct {
-	ID         string `json:"id,omitempty"`   // chosen by the caller
-	Spec       string `json:"spec,omitempty"` // passed on to the workers
-	Steps      []Step `json:"steps,omitempty"`
-	BestEffort bool   `json:"best-effort,omitempty"` // the caller waits for the end, and nothing is stored; otherwise the job outlives every VM
+	ID         string   `json:"id,omitempty"`   // chosen by the caller
+	Spec       string   `json:"spec,omitempty"` // passed on to the workers
+	Steps      []Step   `json:"steps,omitempty"`
+	Schedule   Schedule `json:"schedule,omitzero"`
+	BestEffort bool     `json:"best-effort,omitempty"` // the caller waits for the end, and nothing is stored; otherwise the job outlives every VM
 }
 
 // Lasts says whether the work has a step that lasts.
@@ -48,9 +49,33 @@
 	Timeout     time.Duration `json:"timeout,omitempty"`
 }
 
-// TaskName returns the name of a task of the work on workers.
+// Schedule says when the steps of a work run; the zero value stands for once, at once.
+type Schedule struct {
+	Count    int           `json:"count,omitempty"` // occurrences
+	First    time.Time     `json:"first,omitzero"`
+	Interval time.Duration `json:"interval,omitempty"`
+}
+
+// Due returns the time of an occurrence, counted from 0.
+func (s Schedule) Due(occurrence int) time.Time {
+	return s.First.Add(time.Duration(occurrence) * s.Interval)
+}
+
+// OccurrenceID returns the id under which an occurrence of a scheduled work runs. The tasks of the first one have the names
+// that the work would have without a schedule.
+func OccurrenceID(id string, occurrence int) string {
+	if occurrence == 0 {
+		return id
+	}
+	return id + "." + strconv.Itoa(occurrence)
+}
+
+// TaskName returns the name of a task on workers; the id may be one of an occurrence.
 func TaskName(id string, step, index int) string {
-	return id + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
+	if !strings.Contains(id, ".") {
+		id += ".0"
+	}
+	return id + "." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
 
 // ParseTaskName splits the name of a task; false means that it has another form.
@@ -66,5 +91,8 @@
 	if index, err = strconv.Atoi(parts[3]); err != nil {
 		return "", 0, 0, false
 	}
-	return parts[0], step, index, true
+	if id = parts[0]; parts[1] != "0" {
+		id += "." + parts[1]
+	}
+	return id, step, index, true
 }
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -155,7 +155,7 @@
 // queueInto fills slots with the waiting tasks of the jobs that go before.
 func (p *Pool) queueInto(s slots, service string, before func(*batch) bool) {
 	for _, q := range p.queue {
-		if q.policy.Service != service || !before(q) {
+		if q.policy.Service != service || p.now.Before(q.due) || !before(q) {
 			continue
 		}
 		for i := range q.steps {
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -12,7 +12,8 @@
 	keys      map[Key]struct{} // submissions that wait for the verdict
 	work      job.Work
 	policy    job.Policy
-	arrived   time.Time // at the first entry VM
+	arrived   time.Time // at the first entry VM, or the time of a scheduled job
+	due       time.Time // no task starts before
 	deadline  time.Time // of the answer
 	objective time.Time // latest end that is still on time
 	steps     []step
@@ -153,6 +154,7 @@
 		work:    m.Work,
 		policy:  m.Policy,
 		arrived: p.now.Add(-m.Age),
+		due:     p.now.Add(m.Wait),
 		started: m.Resumed,
 	}
 	b.deadline = p.now.Add(m.Budget)
--- a/placement/message.go
+++ b/placement/message.go
@@ -37,6 +37,7 @@
 	Budget   time.Duration // time left for the answer
 	Resumed  bool          // an earlier holder of the group may have started the job
 	Progress Progress      // of a resumed job, as far as it is known
+	Wait     time.Duration // until the time of a scheduled job; no task starts before
 	Kept     bool          // the job is stored: it has no deadline, no verdict, and Key is not used
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -121,7 +121,7 @@
 func (p *Pool) Waiting() map[string]int {
 	waiting := map[string]int{}
 	for _, b := range p.queue {
-		if !b.started && !b.closed {
+		if !b.started && !b.closed && !p.now.Before(b.due) {
 			waiting[b.policy.Route]++
 		}
 	}
--- a/placement/run.go
+++ b/placement/run.go
@@ -24,7 +24,7 @@
 	judgeAt   time.Time // when its progress is compared with the expected time
 	stopping  bool
 	stopAt    time.Time // of the last order to stop
-	moving    bool // stopped since its worker is slow
+	moving    bool      // stopped since its worker is slow
 }
 
 // startRun places a task on a node.
--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -134,3 +136,46 @@
 		}
 	}
 }
+
+// Guards against occurrences of a scheduled job that start early, twice or never when all VMs are killed in between.
+func TestScheduledJob(t *testing.T) {
+	c := startCluster(t)
+	l := &client{c: c, statuses: map[string]int{}, http: &http.Client{Timeout: budget}}
+	defer l.http.CloseIdleConnections()
+	time.Sleep(4 * time.Second) // the processes start and divide the workers
+	const id, count, interval = "f0000000000000aa", 4, 1500 * time.Millisecond
+	first := time.Now().Add(time.Second)
+	body := fmt.Sprintf(`{"spec":"80 27000","repeat_count":%d,"first_run_ms":%d,"interval_ms":%d,"steps":[{"count":2,"cpu":27000,"mem_mb":64,"estimate_ms":80}]}`,
+		count, first.UnixMilli(), interval.Milliseconds())
+	if code, err := l.post(c.front(0), "/cue/"+id, body); err != nil || code != http.StatusOK {
+		t.Fatalf("scheduled job: %d, %v", code, err)
+	}
+	time.Sleep(time.Until(first.Add(interval + interval/2)))
+	for i := range vmCount {
+		c.signal(i, syscall.SIGKILL)
+	}
+	state := ""
+	for until := time.Now().Add(finishTime); time.Now().Before(until) && state != "completed"; time.Sleep(50 * time.Millisecond) {
+		_, state, _ = l.ask(http.MethodGet, c.front(1), "/cue/"+id) // the VMs may not be back yet
+	}
+	if state != "completed" {
+		t.Errorf("the scheduled job is %q at the end", state)
+	}
+	for k := range count {
+		due := first.Add(time.Duration(k) * interval)
+		for task := range 2 {
+			name := fmt.Sprintf("%s.%d.0.%d", id, k, task)
+			began := c.watch.Began(name)
+			if early := due.Sub(began); began.IsZero() || early > 50*time.Millisecond {
+				t.Errorf("task %s, due at %v, began at %v", name, due, began)
+			}
+			if late := began.Sub(due); k < 2 && late > 200*time.Millisecond {
+				t.Errorf("task %s began %v after its time, with nothing in its way", name, late)
+			}
+		}
+	}
+	faults, _ := c.watch.Faults()
+	for _, f := range append(faults, c.failures()...) {
+		t.Error(f)
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -42,16 +42,17 @@
 	mu      sync.Mutex
 	alive   map[string]string
 	started map[string]bool
-	done    map[string]bool // tasks that have ended so
-	noted   map[string]bool // tasks whose end as done was acknowledged
-	failed  map[string]int  // failed runs that were acknowledged, by task
+	began   map[string]time.Time // first start by task
+	done    map[string]bool      // tasks that have ended so
+	noted   map[string]bool      // tasks whose end as done was acknowledged
+	failed  map[string]int       // failed runs that were acknowledged, by task
 	faults  []string
 }
 
 // NewRunWatch returns a RunWatch that has seen nothing.
 func NewRunWatch() *RunWatch {
 	return &RunWatch{
-		alive: map[string]string{}, started: map[string]bool{}, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{},
+		alive: map[string]string{}, started: map[string]bool{}, began: map[string]time.Time{}, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{},
 	}
 }
 
@@ -64,6 +65,9 @@
 	w.alive[task] = where
 	job, _, _ := strings.Cut(task, ".")
 	w.started[job] = true
+	if w.began[task].IsZero() {
+		w.began[task] = time.Now()
+	}
 	if w.Stored == nil || !w.Stored(job) {
 		return
 	}
@@ -88,6 +92,13 @@
 	}
 }
 
+// Began returns when a task first started, zero if it has not.
+func (w *RunWatch) Began(task string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.began[task]
+}
+
 // Done returns the number of tasks of a job that have ended as done, and the most failed runs of one of its tasks.
 func (w *RunWatch) Done(job string) (done, failed int) {
 	w.mu.Lock()
