Run gangs

Cause: steps whose tasks work only together were refused.

Change: all tasks of a gang are placed in one decision or none; when there is no room the workers that are empty first are kept for it until the last of them is. A member whose run ends, is lost or is stopped takes the others with it, the end of one member as done is the end of all, and a failed run of the gang counts once. With same_rack one rack is preferred; the tasks go across racks when none could ever hold them or the wait is longer than that would cost. After a change of the holder gangs get run numbers above those of any earlier holder, since workers match members by number.

--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -175,30 +175,33 @@
 	return longest
 }
 
-// able returns the groups that have a worker for each step of a job.
+// able returns the groups whose workers can run each step of a job: one task of it, or all tasks of a gang at once.
 func (v *view) able(s Submission) map[string]bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	fits := map[string]uint64{} // by group, a bit for each of the first steps
-	var all uint64
-	for i := range s.Work.Steps[:min(len(s.Work.Steps), 64)] {
-		all |= 1 << i
-	}
+	room := map[string][]int{} // tasks that fit, by group and step
 	for _, w := range v.workers {
 		group, known := v.groupOf(w)
-		if !known || w.Service != s.Policy.Service || w.Draining || fits[group] == all {
+		if !known || w.Service != s.Policy.Service || w.Draining {
 			continue
 		}
-		for i, step := range s.Work.Steps[:min(len(s.Work.Steps), 64)] {
-			if step.Need.Fits(w.Capacity) && (step.RequiredLabel == "" || w.Labelled(step.RequiredLabel)) {
-				fits[group] |= 1 << i
+		if room[group] == nil {
+			room[group] = make([]int, len(s.Work.Steps))
+		}
+		for i, step := range s.Work.Steps {
+			if step.RequiredLabel == "" || w.Labelled(step.RequiredLabel) {
+				room[group][i] += step.PerWorker(w)
 			}
 		}
 	}
 	able := map[string]bool{}
-	for group, steps := range fits {
-		if steps == all {
-			able[group] = true
+	for group, fits := range room {
+		able[group] = true
+		for i, step := range s.Work.Steps {
+			able[group] = able[group] && fits[i] > 0 && (!step.Gang || fits[i] >= step.Count)
+		}
+		if !able[group] {
+			delete(able, group)
 		}
 	}
 	return able
--- a/job/work.go
+++ b/job/work.go
@@ -21,6 +21,8 @@
 	Checkpointing bool             `json:"checkpointing,omitempty"`  // a task that ends early can go on from its newest checkpoint
 	Lasting       bool             `json:"lasting,omitempty"`        // the tasks run until the work is cancelled and start again however they end
 	MaxDisrupted  int              `json:"max-disrupted,omitempty"`  // most tasks of a lasting step that may be away by the dispatcher's doing
+	Gang          bool             `json:"gang,omitempty"`           // the tasks work only together
+	SameRack      bool             `json:"same-rack,omitempty"`      // the tasks of a gang run fastest on one rack
 	Unsupported   string           `json:"unsupported,omitempty"`    // feature of the step that this dispatcher does not offer
 }
 
@@ -33,6 +35,15 @@
 	BestEffort bool     `json:"best-effort,omitempty"` // the caller waits for the end, and nothing is stored; otherwise the job outlives every VM
 }
 
+// PerWorker returns how many tasks of the step an empty worker runs at a time.
+func (s Step) PerWorker(w worker.Worker) int {
+	fit := s.Need.Times(w.Capacity)
+	if s.MaxPerWorker > 0 {
+		fit = min(fit, s.MaxPerWorker)
+	}
+	return fit
+}
+
 // Lasts says whether the work has a step that lasts.
 func (w Work) Lasts() bool {
 	return slices.ContainsFunc(w.Steps, func(s Step) bool { return s.Lasting })
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -54,12 +54,13 @@
 
 // possible says whether some worker of the group could ever run the step.
 func (p *Pool) possible(b *batch, i int) bool {
+	room := 0
 	for _, n := range p.order {
 		if n.Service == b.policy.Service && b.work.Steps[i].Need.Fits(n.Capacity) && p.allowed(b, i, n) && !n.Draining {
-			return true
+			room += perWorker(b, i, n)
 		}
 	}
-	return false
+	return room >= 1 && (!b.gang(i) || room >= len(b.steps[i].tasks))
 }
 
 func (p *Pool) refusal(reason string, wait time.Duration) NotRun {
@@ -112,16 +113,8 @@
 	return s
 }
 
-// count returns how many tasks of a size fit into an amount.
-func count(free, need worker.Resources) int {
-	n := -1
-	for _, pair := range [][2]int{{free.MilliCores, need.MilliCores}, {free.MemoryMiB, need.MemoryMiB}, {free.Accelerators, need.Accelerators}} {
-		if pair[1] > 0 && (n < 0 || pair[0]/pair[1] < n) {
-			n = max(pair[0]/pair[1], 0)
-		}
-	}
-	return min(max(n, 0), maxSlotsPerWorker)
-}
+// count returns how many tasks of a size fit into an amount, as far as predictions care.
+func count(free, need worker.Resources) int { return min(need.Times(free), maxSlotsPerWorker) }
 
 // maxSlotsPerWorker bounds the work of a prediction when tasks are tiny.
 const maxSlotsPerWorker = 64
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -164,6 +164,7 @@
 	}
 	if m.Resumed {
 		b.restore(m.Progress)
+		p.renumberGangs(b)
 	}
 	ideal := time.Duration(float64(p.chain(b)) * max(b.policy.Stretch, 1))
 	b.objective = b.arrived.Add(ideal + b.policy.Target)
@@ -307,6 +308,7 @@
 		return
 	}
 	t := &b.steps[i].tasks[j]
+	b.gangFailed(i, j)
 	t.failed++
 	t.avoid = append(t.avoid, on)
 	if t.failed >= max(b.policy.MaxAttempts, 1) {
--- a/placement/health.go
+++ b/placement/health.go
@@ -101,7 +101,7 @@
 	slow := float64(total) > p.rules.SlowFactor*float64(sound) && total-elapsed >= sound+sound/4+p.rules.StallSlack
 	// A job with a deadline ends by it; a stored one would wait for ever for a run that claims progress and does not end.
 	hangs := r.batch.kept && elapsed > hangFactor*sound+hangSlack
-	if !slow && !hangs {
+	if !hangs && (!slow || r.batch.gang(r.step)) {
 		return
 	}
 	t := &r.batch.steps[r.step].tasks[r.index]
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -126,14 +126,19 @@
 	switch {
 	case e.Outcome == worker.Done && t.state != taskDone:
 		p.keepEnd(n, e)
+		if b.gang(i) {
+			p.gangDone(b, i)
+			return
+		}
 		if r := p.tasks[b.name(i, j)]; r != nil {
 			p.stopRun(r)
 		}
 		p.taskDone(b, i, j)
 	case e.Outcome == worker.Failed && e.Number > t.counted && t.state != taskDone:
 		p.keepEnd(n, e)
-		t.failed++
 		t.counted = e.Number
+		b.gangFailed(i, j)
+		t.failed++
 		t.avoid = append(t.avoid, n.ID)
 		if t.failed >= max(b.policy.MaxAttempts, 1) {
 			p.giveUp(b, i, j, n.ID)
--- a/placement/order.go
+++ b/placement/order.go
@@ -73,6 +73,10 @@
 		return
 	}
 	for i := range b.steps {
+		if b.gang(i) {
+			p.placeGang(b, i, reserved)
+			continue
+		}
 		for j := range b.steps[i].tasks {
 			t := &b.steps[i].tasks[j]
 			if t.state != taskWaiting || p.held(b, i, j) {
--- a/placement/run.go
+++ b/placement/run.go
@@ -164,6 +164,9 @@
 	}
 	r.stopping = true
 	p.sendStop(r)
+	if r.batch.gang(r.step) && !r.batch.closed {
+		p.stopGang(r.batch, r.step, "a member is stopped")
+	}
 }
 
 func (p *Pool) sendStop(r *run) {
@@ -215,6 +218,7 @@
 		return
 	}
 	p.note("run-lost", r.batch.work.ID, r.node.ID, reason, map[string]int64{"run": int64(r.number)})
+	p.gangEnded(r, 0)
 	p.taskWaits(r.batch, r.step, r.index)
 }
 
@@ -230,6 +234,9 @@
 	p.release(r)
 	p.checkpoint(r, e.Checkpoint)
 	outcome := e.Outcome
+	if outcome == worker.Failed && r.batch.gang(r.step) && r.number <= r.batch.steps[r.step].tasks[r.index].counted {
+		outcome = worker.Broken // the failure of this run of the gang is counted already
+	}
 	if r.lasting() {
 		outcome = worker.Stopped // whatever the end, the task starts again
 	}
@@ -237,6 +244,7 @@
 	switch outcome {
 	case worker.Done:
 		p.learn(r, took)
+		p.gangEnded(r, outcome)
 		p.taskDone(r.batch, r.step, r.index)
 		return
 	case worker.Failed:
@@ -244,6 +252,7 @@
 			p.note("run-failed", r.batch.work.ID, r.node.ID, "", map[string]int64{"run": int64(r.number), "took-ms": ms(took)})
 		}
 		r.batch.steps[r.step].tasks[r.index].counted = r.number
+		p.gangEnded(r, outcome)
 		p.strike(r.node, "run failed")
 		p.taskFailed(r.batch, r.step, r.index, r.node.ID)
 		return
@@ -251,6 +260,7 @@
 	if r.batch.closed {
 		return
 	}
+	p.gangEnded(r, outcome)
 	p.note("run-ended", r.batch.work.ID, r.node.ID, e.Outcome.String(), map[string]int64{"run": int64(r.number)})
 	p.taskWaits(r.batch, r.step, r.index)
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 )
@@ -19,6 +20,17 @@
 	return r.MilliCores <= free.MilliCores && r.MemoryMiB <= free.MemoryMiB && r.Accelerators <= free.Accelerators
 }
 
+// Times returns how often the amount fits into the free amount; nothing fits as often as one likes.
+func (r Resources) Times(free Resources) int {
+	times := math.MaxInt32
+	for _, pair := range [][2]int{{free.MilliCores, r.MilliCores}, {free.MemoryMiB, r.MemoryMiB}, {free.Accelerators, r.Accelerators}} {
+		if pair[1] > 0 {
+			times = min(times, max(pair[0]/pair[1], 0))
+		}
+	}
+	return times
+}
+
 // Plus returns the sum of two amounts.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.MilliCores + o.MilliCores, r.MemoryMiB + o.MemoryMiB, r.Accelerators + o.Accelerators}
@@ -37,6 +49,7 @@
 	Zone     string
 	Capacity Resources
 	Labels   []string
+	Rack     string
 	Draining bool
 	Born     int64 // start of this incarnation in Unix milliseconds, 0 when the list does not say
 }
