Count jobs as waiting until a task has begun

A job counted as begun when its first start was sent, though the start may be lost, and as queued only while it had tasks without a worker.

Change: a job has begun when a worker has confirmed a start or listed a run; all others are said to wait.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -47,7 +47,7 @@
 	delete(p.found, name)
 	t := &b.steps[i].tasks[j]
 	t.runs = max(t.runs, f.number)
-	b.started = true
+	b.started, b.begun = true, true
 	p.note("run-adopted", b.work.ID, f.node.ID, "", map[string]int64{"run": int64(f.number)})
 	if f.done {
 		p.taskDone(b, i, j)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -20,6 +20,7 @@
 	left      int  // tasks that are not done
 	waiting   int  // tasks that wait for room and whose turn has come
 	started   bool // a task may have started
+	begun     bool // a task has started
 	queued    bool
 	closed    bool // answered; its runs are being stopped
 	order     float64
--- a/placement/health.go
+++ b/placement/health.go
@@ -87,6 +87,7 @@
 
 // observe judges a running task by its progress and moves it if it would end sooner elsewhere.
 func (p *Pool) observe(r *run, progress int) {
+	r.batch.begun = true
 	if r.confirmed.IsZero() {
 		r.confirmed = p.now
 	}
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -42,7 +42,7 @@
 		return
 	}
 	b := p.newBatch(m)
-	b.kept, b.started = true, false
+	b.kept, b.started, b.begun = true, false, m.Progress.known()
 	clear(b.keys)
 	p.kept[b.work.ID], p.byID[b.work.ID] = b, b
 	if m.Resumed || !p.allSurveyed() {
@@ -122,6 +122,7 @@
 		return
 	}
 	t := &b.steps[i].tasks[j]
+	b.begun = true
 	t.runs = max(t.runs, e.Number)
 	switch {
 	case e.Outcome == worker.Done && t.state != taskDone:
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -363,3 +363,19 @@
 		is.True(!f.workers[name].Draining)
 	}
 }
+
+// Guards against MIXED on a day of high load: a job whose first start is lost counted as begun, so that too few were said to
+// wait.
+func TestWaitingCountsLostStarts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4, 2)
+	f.run(20 * time.Millisecond)
+	f.workers["w00"].dark, f.workers["w01"].dark = true, true
+	id := f.keep(quote, 1)
+	f.run(100 * time.Millisecond)
+	is.Equal(f.pool.(*Pool).Waiting()["quote"], 1)
+	is.True(!f.pool.(*Pool).Begun(id))
+	f.workers["w00"].dark, f.workers["w01"].dark = false, false
+	f.run(3 * time.Second)
+	is.Equal(f.pool.(*Pool).Waiting()["quote"], 0)
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -120,18 +120,18 @@
 // Waiting returns the numbers of jobs that have not started, by route.
 func (p *Pool) Waiting() map[string]int {
 	waiting := map[string]int{}
-	for _, b := range p.queue {
-		if !b.started && !b.closed && !p.now.Before(b.due) {
+	for _, b := range p.byID {
+		if !b.begun && !b.closed && !p.now.Before(b.due) {
 			waiting[b.policy.Route]++
 		}
 	}
 	return waiting
 }
 
-// Begun says whether a job is here of which a task may have started.
+// Begun says whether a job is here of which a task has started.
 func (p *Pool) Begun(id string) bool {
 	b := p.byID[id]
-	return b != nil && b.started
+	return b != nil && b.begun
 }
 
 // Lasting returns the ids of the jobs with tasks that last.
--- a/placement/run.go
+++ b/placement/run.go
@@ -81,7 +81,7 @@
 	if m.Err == nil {
 		p.readClock(n, m.Report, r)
 		if r.confirmed.IsZero() {
-			r.confirmed = p.now
+			r.confirmed, r.batch.begun = p.now, true
 		}
 		return
 	}
@@ -232,6 +232,7 @@
 // runEnded takes in a listed end.
 func (p *Pool) runEnded(r *run, e worker.End) {
 	p.release(r)
+	r.batch.begun = true
 	p.checkpoint(r, e.Checkpoint)
 	outcome := e.Outcome
 	if outcome == worker.Failed && r.batch.gang(r.step) && r.number <= r.batch.steps[r.step].tasks[r.index].counted {
