Store progress at once, and count the jobs of holders out of reach

Cause: jobs of three steps took 50 ms a step longer than their tasks. Ends that are not stored yet cannot be acknowledged, a worker with such ends answers each hold at once, and holds are then 15 ms apart, for as long as progress waits to be stored. A test that depended on the order of random numbers then showed that lasting runs lapse when the next holder's store is away for over a second.

Change: progress is written with the next write; the waiting jobs of a group whose holder is out of reach are counted from the store; the leases of lasting runs are renewed until the stored jobs are known.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	nextRequest atomic.Uint64
 	accepts     accepts
 	finals      finals
+	unreached   unreached
 	divided     time.Time // last try to write the number of groups; of holdGroups only
 
 	mu          sync.Mutex
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -420,28 +420,6 @@
 	return g.active[id] != nil
 }
 
-// Waiting returns the number of jobs of a route that have not started, as the holders have told last.
-func (g *Gateway) Waiting(route string) int {
-	own := map[string]map[string]int{}
-	for _, d := range g.allDrivers() {
-		if !d.lostFence() {
-			own[d.group] = d.waitingJobs()
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	n := 0
-	for group, told := range g.waiting {
-		if own[group] == nil {
-			n += told[route]
-		}
-	}
-	for _, mine := range own {
-		n += mine[route]
-	}
-	return n
-}
-
 // Route returns the route of a request and whether the configuration is known at all.
 func (g *Gateway) Route(host, path string) (route Route, found, known bool) {
 	c, _ := g.view.current()
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -71,10 +71,7 @@
 	left := 0
 	for _, name := range sortedNames(p.found) {
 		f := p.found[name]
-		if f.ending || p.now.Before(f.until) {
-			continue
-		}
-		if id, _, _, _ := job.ParseTaskName(name); !p.restored && p.lasting[id] {
+		if f.ending || p.now.Before(f.until) || p.awaited(name) {
 			continue
 		}
 		left++
@@ -91,6 +88,22 @@
 	}
 }
 
+// awaited says whether a found run is one of a lasting job that is still being read from the store.
+func (p *Pool) awaited(name string) bool {
+	id, _, _, _ := job.ParseTaskName(name)
+	return !p.restored && p.lasting[id]
+}
+
+// keepsFound says whether the lease of a worker is renewed for the sake of found runs.
+func (p *Pool) keepsFound(n *node) bool {
+	for name, f := range p.found {
+		if f.node == n && !f.done && !f.ending && p.awaited(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // endFound stops a run that is not of this pool; its task must not start again before its worker lists it no more.
 func (p *Pool) endFound(name string, f found) {
 	f.ending = true
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -32,7 +32,6 @@
 	version   int       // grows with each change that has to be stored
 	saved     int       // version that is stored
 	saving    bool
-	saveAt    time.Time // when progress is stored, zero if there is none
 	pins      []pin
 }
 
@@ -261,7 +260,7 @@
 			b.state = KeptFailed
 		}
 		b.version++
-		p.changeKept(b)
+		p.changed = append(p.changed, b)
 	}
 	for i := range b.steps {
 		for j := range b.steps[i].tasks {
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -100,14 +100,6 @@
 	}
 	n.pins[e.Sequence] = struct{}{}
 	b.pins = append(b.pins, pin{node: n, born: n.born, sequence: e.Sequence, version: b.version})
-	p.changeKept(b)
-}
-
-// changeKept notes that a job has something new to store: its end at once, anything else with what follows soon.
-func (p *Pool) changeKept(b *batch) {
-	if b.saveAt.IsZero() {
-		b.saveAt = p.now.Add(p.rules.SaveDelay)
-	}
 	p.changed = append(p.changed, b)
 }
 
@@ -149,22 +141,17 @@
 
 // saveChanged asks to store the jobs that have changed, one version of each at a time.
 func (p *Pool) saveChanged() {
-	later := p.changed[:0]
 	for _, b := range p.changed {
 		if b.saving || b.saved >= b.version {
 			continue
 		}
-		if !b.closed && p.now.Before(b.saveAt) {
-			later = append(later, b)
-			continue
-		}
-		b.saving, b.saveAt = true, time.Time{}
+		b.saving = true
 		progress := b.progress(nil, p.now)
 		progress.On = nil
 		p.emit(Save{Job: b.work.ID, Version: b.version, State: b.state, Progress: progress})
 	}
-	clear(p.changed[len(later):])
-	p.changed = later
+	clear(p.changed)
+	p.changed = p.changed[:0]
 }
 
 // takeSaved releases the ends that a stored version covers.
@@ -185,7 +172,7 @@
 	}
 	b.pins = left
 	if b.saved < b.version {
-		p.changeKept(b)
+		p.changed = append(p.changed, b)
 		return
 	}
 	if b.closed {
@@ -233,7 +220,7 @@
 func (p *Pool) lastingStarted(r *run) {
 	if r.lasting() && r.batch.kept {
 		r.batch.version++
-		p.changeKept(r.batch)
+		p.changed = append(p.changed, r.batch)
 	}
 }
 
--- a/placement/node.go
+++ b/placement/node.go
@@ -186,7 +186,7 @@
 			}
 			// A worker that may hear without being heard must not keep its runs alive, so its lease is not renewed,
 			// except for the first retry after a lost answer.
-			if n.surveyed && n.errors <= 1 && len(n.runs) > 0 {
+			if n.surveyed && n.errors <= 1 && (len(n.runs) > 0 || p.keepsFound(n)) {
 				order.Lease = p.extend(n)
 			}
 		case p.unacked(n):
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -13,7 +13,6 @@
 	ProbeInterval   time.Duration // between two holds of a worker that does not answer
 	AckDelay        time.Duration // idle time after which the last ends are acknowledged
 	UnackedRest     time.Duration // between two holds of a worker that lists ends which may not be acknowledged yet
-	SaveDelay       time.Duration // from an end of a stored job to the write of it; most jobs end within it, with one write
 	AdoptionTime    time.Duration // for entry VMs to resume the jobs of an earlier holder
 	RemovalGrace    time.Duration // use of a worker after its entry has gone; entries are back 2 s after an outage
 	Quarantine      time.Duration // first time that a failing worker gets no work; doubles
@@ -38,7 +37,6 @@
 		ProbeInterval:   250 * time.Millisecond,
 		AckDelay:        300 * time.Millisecond,
 		UnackedRest:     15 * time.Millisecond,
-		SaveDelay:       700 * time.Millisecond,
 		AdoptionTime:    300 * time.Millisecond,
 		RemovalGrace:    2500 * time.Millisecond,
 		Quarantine:      time.Second,
