Count the later steps of taken jobs when a new job is judged

The expected wait counted the tasks that wait for room, not those of later steps, so new jobs were taken whose room was already needed.

Change: tasks of later steps count for the wait that admission and the summaries of load expect.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"sort"
 	"time"
 
 	"samphireplank.example/samphireplank/worker"
@@ -145,16 +146,31 @@
 	return last, true
 }
 
-// queueInto fills slots with the waiting tasks of the jobs that go before.
+// unfinished returns the jobs with tasks that have no worker yet: those in the queue, and those whose later steps wait for
+// earlier ones. Jobs of several steps that are taken need room for all of them.
+func (p *Pool) unfinished() []*batch {
+	list := p.queue
+	for _, b := range p.byID {
+		if !b.queued && len(b.steps) > 1 {
+			list = append(list[:len(list):len(list)], b)
+		}
+	}
+	if blocked := list[len(p.queue):]; len(blocked) > 1 {
+		sort.Slice(blocked, func(i, j int) bool { return blocked[i].work.ID < blocked[j].work.ID })
+	}
+	return list
+}
+
+// queueInto fills slots with the tasks that have no worker yet of the jobs that go before.
 func (p *Pool) queueInto(s slots, service string, before func(*batch) bool) {
-	for _, q := range p.queue {
+	for _, q := range p.unfinished() {
 		if q.policy.Service != service || p.now.Before(q.due) || !before(q) {
 			continue
 		}
 		for i := range q.steps {
 			length := p.expected(q, i)
 			for _, t := range q.steps[i].tasks {
-				if t.state == taskWaiting {
+				if t.state == taskWaiting || t.state == taskBlocked {
 					s.take(length)
 				}
 			}
