Keep the place of jobs whose first steps have run

Change: a job of several steps that has begun keeps its place until its end is worth nothing.

Jobs of one step are not touched.

--- a/placement/kept.go
+++ b/placement/kept.go
@@ -199,12 +199,14 @@
 
 // lateness ranks a job by what its end is still worth: 0 on time, 1 late, 2 for stored jobs that are very late.
 func (p *Pool) lateness(b *batch) int {
-	end := p.now.Add(p.chain(b))
+	end := p.now.Add(p.chain(b)) // an upper bound once steps are done
 	switch {
 	case b.work.Lasts():
 		return 0
 	case !end.After(b.objective):
 		return 0
+	case b.begun && len(b.steps) > 1 && !end.After(b.objective.Add((lateFactor-1)*b.objective.Sub(b.arrived))):
+		return 0 // what its first steps have cost would be lost behind an endless row of jobs that can be on time
 	case b.kept && end.After(b.objective.Add((lateFactor-1)*b.objective.Sub(b.arrived))):
 		return 2
 	}
