Use one client for the store in both modes

Cause: `publication`, `zone` and the commands still spoke an earlier protocol of their own by an earlier client, with a second stand-in for it: two of everything, of which the users' platform serves one.

Change: `store.Shared` makes values with versions and the list of VMs of a `store.Keyspace`; the commands reach it by `platform.Store`, and the stand-in platform serves the users' protocol with the faults that it had.

Tests: the contract test and all fault tests of the store run on the new client, with the same faults and outcomes.

Ruled out: a watch without a reading before it (it cannot see a change that came before the first call), and interrupting calls of the store (the client has no means for it; a watch whose caller has gone ends in the background).

--- a/cmd/samphireplank-standin/endpoint.go
+++ b/cmd/samphireplank-standin/endpoint.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
+	"samphireplank.example/samphireplank/platform"
 	"samphireplank.example/samphireplank/standin"
 	"samphireplank.example/samphireplank/store"
 )
@@ -62,7 +64,11 @@
 	}
 	var registrar standin.Registrar
 	if len(c.Platform) > 0 {
-		registrar = store.NewClient(store.ClientConfig{Addresses: c.Platform})
+		var all store.Several
+		for _, address := range c.Platform {
+			all = append(all, platform.NewStore(strings.TrimPrefix(address, "http://")))
+		}
+		registrar = store.NewShared(all, 0)
 	}
 	endpoints := make([]standin.EndpointConfig, 0, c.Count)
 	for i := range c.Count {
--- a/cmd/samphireplank/connect.go
+++ b/cmd/samphireplank/connect.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
+	"samphireplank.example/samphireplank/platform"
 	"samphireplank.example/samphireplank/store"
 )
 
@@ -31,5 +33,17 @@
 
 // connect doesn't let long polls wait: commands read the present state only.
 func connect(addresses []string, timeout time.Duration) (platformClient, error) {
-	return store.NewClient(store.ClientConfig{Addresses: addresses, Timeout: timeout, Wait: time.Millisecond}), nil
+	return store.NewShared(keyspaces(addresses, "", timeout), time.Millisecond), nil
 }
+
+// keyspaces returns the store behind the given addresses.
+func keyspaces(addresses []string, zone string, timeout time.Duration) store.Several {
+	var all store.Several
+	for _, address := range addresses {
+		all = append(all, platform.NewStoreFrom(zone, strings.TrimPrefix(address, "http://"), timeout))
+	}
+	return all
+}
+
+// defaultPlatformTimeout bounds a call of commands without a flag for it.
+const defaultPlatformTimeout = 2 * time.Second
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -125,7 +125,7 @@
 	path := string(ctx.Path())
 	switch {
 	case path == "/admin/counts" && ctx.IsGet():
-		sendJSON(ctx, f.Counts())
+		replyJSON(ctx, f.Counts())
 	case path == "/admin/tasks" && ctx.IsGet():
 		ctx.SetContentType("text/plain")
 		if _, err := f.ledger.WriteTo(ctx); err != nil {
@@ -157,7 +157,7 @@
 func act(ctx *fasthttp.RequestCtx, e *Endpoint, action string) error {
 	switch {
 	case action == "faults" && ctx.IsGet():
-		sendJSON(ctx, e.Faults())
+		replyJSON(ctx, e.Faults())
 		return nil
 	case action == "faults" && ctx.IsPut():
 		var faults []Fault
--- a/standin/keyspace.go
+++ b/standin/keyspace.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/store"
 )
 
 // KeyspaceFaults are the faults of a Keyspace.
@@ -35,6 +37,8 @@
 	writes   int
 	reads    int
 	server   *fasthttp.Server
+	lag      time.Duration          // until a registration of a VM shows
+	ends     func() <-chan struct{} // ends waiting watches, nil for never
 }
 
 type keyspaceItem struct {
@@ -122,6 +126,20 @@
 	k.record(item)
 }
 
+// setLater writes a key; the registration of a VM shows after the lag.
+func (k *Keyspace) setLater(key string, value []byte) {
+	if k.lag == 0 || !strings.HasPrefix(key, store.VMPrefix) {
+		k.set(key, value)
+		return
+	}
+	time.AfterFunc(k.lag, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.revision++
+		k.set(key, value)
+	})
+}
+
 func (k *Keyspace) remove(key string) {
 	if _, ok := k.items[key]; !ok {
 		return
@@ -206,6 +224,10 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	var ends <-chan struct{}
+	if k.ends != nil {
+		ends = k.ends()
+	}
 	k.mu.Lock()
 	k.reads++
 	for {
@@ -232,6 +254,9 @@
 		}
 		select {
 		case <-changed:
+		case <-ends:
+			ctx.Error("faults have changed", fasthttp.StatusServiceUnavailable)
+			return
 		case <-timer.C:
 			replyJSON(ctx, map[string]any{"events": events, "store_revision": revision})
 			return
@@ -267,7 +292,7 @@
 		}
 		k.revision++ // one for all keys of the transaction
 		for _, s := range t.Set {
-			k.set(s.Key, s.Value)
+			k.setLater(s.Key, s.Value)
 		}
 		for _, key := range t.Remove {
 			k.remove(key)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,12 +1,11 @@
 package standin
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +18,9 @@
 	"samphireplank.example/samphireplank/store"
 )
 
+// headerZone names the zone of the calling VM; the platform itself has no such header.
+const headerZone = "Zone"
+
 // maxWait bounds a long poll, so that a caller that has gone costs a goroutine for no longer.
 const maxWait = time.Minute
 
@@ -26,7 +28,7 @@
 type PlatformFaults struct {
 	DelayMS     int      `json:"delay-ms"`    // added to each call
 	Down        bool     `json:"down"`        // connections are closed without an answer and without an effect
-	Unavailable bool     `json:"unavailable"` // calls are refused with 503 and No-Effect
+	Unavailable bool     `json:"unavailable"` // calls are refused with 503 and have no effect
 	LoseAnswer  float64  `json:"lose-answer"` // probability that a write takes effect and is not answered
 	MissEvent   float64  `json:"miss-event"`  // probability that a waiting watch misses a change and waits on
 	ListLagMS   int      `json:"list-lag-ms"` // time until a registration shows in the list
@@ -60,7 +62,8 @@
 //	defer p.Close()
 type Platform struct {
 	address string
-	memory  *store.Memory
+	keys    *Keyspace
+	memory  *store.Shared // the content without faults
 	server  *fasthttp.Server
 	group   errgroup.Group
 	closed  context.Context
@@ -77,7 +80,9 @@
 
 // NewPlatform returns a Platform that serves after Start.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	p := &Platform{address: cfg.Address, memory: store.NewMemory()}
+	p := &Platform{address: cfg.Address, keys: NewKeyspace()}
+	p.memory = store.NewShared(direct{p.keys}, 0)
+	p.keys.ends = p.ending
 	if p.address == "" {
 		p.address = "127.0.0.1:0"
 	}
@@ -120,8 +125,8 @@
 // Address returns host:port of the server after Start.
 func (p *Platform) Address() string { return p.address }
 
-// Memory returns the state that the server gives access to.
-func (p *Platform) Memory() *store.Memory { return p.memory }
+// Memory gives access to the content, whatever the faults.
+func (p *Platform) Memory() *store.Shared { return p.memory }
 
 // Close ends all calls and the server.
 func (p *Platform) Close() error {
@@ -140,18 +145,20 @@
 		p.random = rand.New(rand.NewPCG(faults.Seed, 0))
 	}
 	p.faults = faults
-	p.memory.SetLag(time.Duration(faults.ListLagMS) * time.Millisecond)
+	p.keys.mu.Lock()
+	p.keys.lag = time.Duration(faults.ListLagMS) * time.Millisecond
+	p.keys.mu.Unlock()
 	if p.change != nil {
 		p.change()
 	}
 	p.steady, p.change = context.WithCancel(p.closed)
 }
 
-// poll returns the context of a long poll, which ends when the faults change.
-func (p *Platform) poll(wait time.Duration) (context.Context, context.CancelFunc) {
+// ending returns a channel that is closed when the faults change or the server stops.
+func (p *Platform) ending() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return context.WithTimeout(p.steady, wait)
+	return p.steady.Done()
 }
 
 // Faults returns the faults in force.
@@ -188,15 +195,19 @@
 	if p.fail(ctx) {
 		return
 	}
-	switch key, isKey := strings.CutPrefix(path, "/v1/keys/"); {
-	case isKey:
-		p.serveKey(ctx, key)
-	case path == "/v1/vms" && ctx.IsGet():
-		p.serveList(ctx)
-	case strings.HasPrefix(path, "/v1/vms/") && ctx.IsPut():
-		p.serveRegistration(ctx, strings.TrimPrefix(path, "/v1/vms/"))
+	began := time.Now()
+	p.keys.handle(ctx)
+	switch path {
+	case "/v1/kv-watch":
+		p.watches.Add(1)
+		p.missEvents(ctx, began)
+	case "/v1/kv-txn":
+		p.writes.Add(1)
+		p.finishWrite(ctx)
+	case "/v1/kv-range":
+		p.lists.Add(1)
 	default:
-		ctx.Error("no such path or method", fasthttp.StatusBadRequest)
+		p.reads.Add(1)
 	}
 	// A call that was waiting when the fault began gets no answer either.
 	if p.unreachable(ctx) {
@@ -204,6 +215,23 @@
 	}
 }
 
+// missEvents takes the events of a watch that has waited out of its answer if the fault says so; the watch waits on.
+func (p *Platform) missEvents(ctx *fasthttp.RequestCtx, began time.Time) {
+	if ctx.Response.StatusCode() != fasthttp.StatusOK || !waited(began) || !bytes.Contains(ctx.Response.Body(), []byte(`"key"`)) ||
+		!p.draw(p.Faults().MissEvent) {
+		return
+	}
+	p.missedEvents.Add(1)
+	if wait, err := strconv.Atoi(string(ctx.QueryArgs().Peek("wait_ms"))); err == nil {
+		p.sleep(time.Duration(wait+1)*time.Millisecond - time.Since(began)) // waits are cut to milliseconds
+	}
+	after := string(ctx.QueryArgs().Peek("after"))
+	ctx.SetBodyString(`{"events":[],"store_revision":` + after + `}`)
+}
+
+// waited tells an event that arrived during the poll, which a watch may miss, from the state at its beginning.
+func waited(began time.Time) bool { return time.Since(began) > time.Millisecond }
+
 // fail applies the faults that keep a call from taking effect.
 func (p *Platform) fail(ctx *fasthttp.RequestCtx) bool {
 	faults := p.Faults()
@@ -217,7 +245,6 @@
 	}
 	if faults.Unavailable {
 		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
-		ctx.Response.Header.Set(store.HeaderNoEffect, "true")
 		return true
 	}
 	return false
@@ -225,11 +252,13 @@
 
 // hold keeps a call of a cut zone without an answer until the faults change, because a partition breaks no connection.
 func (p *Platform) hold(ctx *fasthttp.RequestCtx) {
-	until := time.Now().Add(maxWait)
-	for p.cut(ctx) && time.Now().Before(until) && p.closed.Err() == nil {
-		steady, cancel := p.poll(time.Until(until))
-		<-steady.Done()
-		cancel()
+	until := time.After(maxWait)
+	for p.cut(ctx) && p.closed.Err() == nil {
+		select {
+		case <-p.ending():
+		case <-until:
+			return
+		}
 	}
 }
 
@@ -238,7 +267,7 @@
 }
 
 func (p *Platform) cut(ctx *fasthttp.RequestCtx) bool {
-	zone := string(ctx.Request.Header.Peek(store.HeaderZone))
+	zone := string(ctx.Request.Header.Peek(headerZone))
 	for _, cut := range p.Faults().CutZones {
 		if cut == zone {
 			return true
@@ -267,46 +296,36 @@
 	}
 }
 
-func (p *Platform) serveRegistration(ctx *fasthttp.RequestCtx, escaped string) {
-	p.registrations.Add(1)
-	var vm store.VM
-	id, err := url.PathUnescape(escaped)
-	if err == nil {
-		err = strictJSON(ctx.PostBody(), &vm)
-	}
-	if err != nil || vm.ID != id || vm.Address == "" {
-		ctx.Error(fmt.Sprintf("malformed VM %q: %v", id, err), fasthttp.StatusBadRequest)
-		return
-	}
-	if err := p.memory.Register(ctx, vm); err != nil {
+// finishWrite loses the answer of a write that has taken effect if the fault says so.
+func (p *Platform) finishWrite(ctx *fasthttp.RequestCtx) {
+	switch ctx.Response.StatusCode() {
+	case fasthttp.StatusPreconditionFailed:
 		p.conflicts.Add(1)
-		ctx.Error(err.Error(), fasthttp.StatusConflict)
+		return
+	case fasthttp.StatusOK:
+	default:
 		return
 	}
-	p.finishWrite(ctx)
-}
-
-// finishWrite loses the answer of a write that has taken effect if the fault says so.
-func (p *Platform) finishWrite(ctx *fasthttp.RequestCtx) {
 	if p.draw(p.Faults().LoseAnswer) {
 		p.lostAnswers.Add(1)
 		closeUnanswered(ctx)
 	}
 }
 
-// writeStatus maps the errors of the store to statuses.
-func writeStatus(err error) int {
+func (p *Platform) admin(ctx *fasthttp.RequestCtx, path string) {
 	switch {
-	case errors.Is(err, store.ErrNotFound):
-		return fasthttp.StatusNotFound
-	case errors.Is(err, store.ErrVersionMismatch):
-		return fasthttp.StatusConflict
-	case errors.Is(err, store.ErrValueTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge
+	case path == "/admin/faults" && ctx.IsPut():
+		var faults PlatformFaults
+		if err := strictJSON(ctx.PostBody(), &faults); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		p.SetFaults(faults)
+	case path == "/admin/faults" && ctx.IsGet():
+		replyJSON(ctx, p.Faults())
+	case path == "/admin/counts" && ctx.IsGet():
+		replyJSON(ctx, p.Counts())
+	default:
+		ctx.Error("no such admin path or method", fasthttp.StatusNotFound)
 	}
-	return fasthttp.StatusInternalServerError
-}
-
-func setVersion(ctx *fasthttp.RequestCtx, version uint64) {
-	ctx.Response.Header.Set(store.HeaderVersion, strconv.FormatUint(version, 10))
 }
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"samphireplank.example/samphireplank/platform"
 	"samphireplank.example/samphireplank/standin"
 	"samphireplank.example/samphireplank/store"
 )
@@ -25,26 +26,43 @@
 func each(t *testing.T, test func(*testing.T, service)) {
 	t.Run("memory", func(t *testing.T) { test(t, store.NewMemory()) })
 	t.Run("stand-in", func(t *testing.T) {
-		_, client := startPlatform(t, store.ClientConfig{})
+		_, client := startPlatform(t, clientConfig{})
 		test(t, client)
 	})
 }
 
-func startPlatform(t *testing.T, cfg store.ClientConfig) (*standin.Platform, *store.Client) {
+// clientConfig configures the client of a test.
+type clientConfig struct {
+	addresses []string // of other servers, which are asked first
+	zone      string
+	timeout   time.Duration
+	wait      time.Duration
+}
+
+func newClient(cfg clientConfig) *store.Shared {
+	if cfg.timeout == 0 {
+		cfg.timeout = 2 * time.Second
+	}
+	var all store.Several
+	for _, address := range cfg.addresses {
+		all = append(all, platform.NewStoreFrom(cfg.zone, address, cfg.timeout))
+	}
+	return store.NewShared(all, cfg.wait)
+}
+
+func startPlatform(t *testing.T, cfg clientConfig) (*standin.Platform, *store.Shared) {
 	t.Helper()
 	p := standin.NewPlatform(standin.PlatformConfig{})
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	cfg.Addresses = append(cfg.Addresses, p.Address())
-	client := store.NewClient(cfg)
+	cfg.addresses = append(cfg.addresses, p.Address())
 	t.Cleanup(func() {
-		client.Close()
 		if err := p.Close(); err != nil {
 			t.Error(err)
 		}
 	})
-	return p, client
+	return p, newClient(cfg)
 }
 
 // Guards against writes that overwrite a version that the writer has not seen.
--- a/store/fault_test.go
+++ b/store/fault_test.go
@@ -33,7 +33,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, client := startPlatform(t, store.ClientConfig{Zone: "a", Timeout: 300 * time.Millisecond})
+			p, client := startPlatform(t, clientConfig{zone: "a", timeout: 300 * time.Millisecond})
 			p.SetFaults(c.faults)
 			_, err := client.CompareAndSwap(t.Context(), "head", 0, []byte("x"))
 			is.True(errors.Is(err, c.err))
@@ -51,10 +51,10 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(closed.Close())
-	alone := store.NewClient(store.ClientConfig{Addresses: []string{closed.Addr().String()}})
+	alone := newClient(clientConfig{addresses: []string{closed.Addr().String()}})
 	_, err = alone.CompareAndSwap(t.Context(), "head", 0, nil)
 	is.True(errors.Is(err, store.ErrNoEffect))
-	_, client := startPlatform(t, store.ClientConfig{Addresses: []string{closed.Addr().String()}})
+	_, client := startPlatform(t, clientConfig{addresses: []string{closed.Addr().String()}})
 	_, err = client.CompareAndSwap(t.Context(), "head", 0, nil)
 	is.NoErr(err)
 }
@@ -62,9 +62,9 @@
 // Guards against a server that never answers and takes the time of the others.
 func TestNextAddressAfterSilence(t *testing.T) {
 	is := is.New(t)
-	silent, _ := startPlatform(t, store.ClientConfig{})
+	silent, _ := startPlatform(t, clientConfig{})
 	silent.SetFaults(standin.PlatformFaults{CutZones: []string{"a"}})
-	_, client := startPlatform(t, store.ClientConfig{Zone: "a", Addresses: []string{silent.Address()}, Timeout: 100 * time.Millisecond})
+	_, client := startPlatform(t, clientConfig{zone: "a", addresses: []string{silent.Address()}, timeout: 100 * time.Millisecond})
 	list, err := client.VMs(t.Context(), 0)
 	is.NoErr(err)
 	is.True(list.Version > 0)
@@ -73,7 +73,7 @@
 // Guards against a watch that never sees a change after it has missed it.
 func TestWatchSeesMissedEventLater(t *testing.T) {
 	is := is.New(t)
-	p, client := startPlatform(t, store.ClientConfig{Wait: 200 * time.Millisecond})
+	p, client := startPlatform(t, clientConfig{wait: 200 * time.Millisecond})
 	p.SetFaults(standin.PlatformFaults{MissEvent: 1})
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -96,7 +96,7 @@
 	for name, faults := range map[string]standin.PlatformFaults{"down": {Down: true}, "cut": {CutZones: []string{"a"}}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, client := startPlatform(t, store.ClientConfig{Zone: "a", Wait: 300 * time.Millisecond, Timeout: 300 * time.Millisecond})
+			p, client := startPlatform(t, clientConfig{zone: "a", wait: 300 * time.Millisecond, timeout: 300 * time.Millisecond})
 			var group sync.WaitGroup
 			group.Go(func() {
 				_, err := client.Watch(t.Context(), "head", 0)
@@ -114,7 +114,7 @@
 // Guards against an unchanged value without its data after the platform has ended the wait.
 func TestWatchEndsWithValue(t *testing.T) {
 	is := is.New(t)
-	_, client := startPlatform(t, store.ClientConfig{Wait: 20 * time.Millisecond})
+	_, client := startPlatform(t, clientConfig{wait: 20 * time.Millisecond})
 	version, err := client.CompareAndSwap(t.Context(), "head", 0, []byte("x"))
 	is.NoErr(err)
 	for range 2 {
@@ -127,7 +127,7 @@
 // Guards against a list that shows a VM before its lag is over, or never.
 func TestListLags(t *testing.T) {
 	is := is.New(t)
-	p, client := startPlatform(t, store.ClientConfig{})
+	p, client := startPlatform(t, clientConfig{})
 	p.SetFaults(standin.PlatformFaults{ListLagMS: 200})
 	before, err := client.VMs(t.Context(), 0)
 	is.NoErr(err)
--- a/store/fuzz_test.go
+++ b/store/fuzz_test.go
@@ -1,39 +1,34 @@
 package store
 
 import (
-	"bytes"
-	"errors"
-	"io"
-	"net/http"
+	"context"
 	"testing"
+	"time"
 )
 
-// Guards against answers that crash the client, and against a write that is taken for one without effect.
-func FuzzReadAnswer(f *testing.F) {
-	f.Add(200, "1", "", []byte("value"))
-	f.Add(503, "", "true", []byte("unavailable"))
-	f.Add(304, "18446744073709551616", "", []byte(`{"version":1,"vms":[{"id":"a","address":"b"}]}`))
-	f.Fuzz(func(t *testing.T, status int, version, noEffect string, body []byte) {
-		for _, method := range []string{http.MethodGet, http.MethodPut} {
-			response := &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}
-			response.Header.Set(HeaderVersion, version)
-			response.Header.Set(HeaderNoEffect, noEffect)
-			a, err := readAnswer(response, call{method: method})
-			if err == nil && status != http.StatusOK && status != http.StatusNotModified {
-				t.Fatalf("status %d is taken for success", status)
-			}
-			if method == http.MethodPut && status/100 == 5 && noEffect != "true" && !errors.Is(err, ErrUncertain) {
-				t.Fatalf("status %d: %v", status, err)
-			}
-			if _, err := a.value("key"); err == nil && a.version == 0 {
-				t.Fatal("value without a version")
-			}
+// oneKey is a keyspace with one item.
+type oneKey struct {
+	Keyspace
+	item Item
+}
+
+func (k oneKey) Range(context.Context, string) (Snapshot, error) {
+	return Snapshot{Items: []Item{k.item}, Revision: 1}, nil
+}
+
+// Guards against registrations of another writer that crash a VM or name a VM that cannot be used.
+func FuzzListedVM(f *testing.F) {
+	f.Add("a", []byte(`{"id":"a","address":"b"}`))
+	f.Add("a", []byte(`{"id":"b","address":"b"}`))
+	f.Add("", []byte(`{`))
+	f.Fuzz(func(t *testing.T, id string, value []byte) {
+		list, err := NewShared(oneKey{item: Item{Key: VMPrefix + id, Value: value}}, time.Millisecond).VMs(t.Context(), 0)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if list, err := readList(body); err == nil {
-			for _, vm := range list.VMs {
-				if vm.ID == "" || vm.Address == "" {
-					t.Fatalf("VM %+v", vm)
-				}
+		for _, vm := range list.VMs {
+			if vm.ID != id || vm.Address == "" {
+				t.Fatalf("VM %+v under the key of %q", vm, id)
 			}
 		}
 	})
