Hear of new ends while the store is away for long

Cause: found by reading. A holder acknowledges no ends before it knows the stored jobs of its group, and workers list 500 ends at a time; with the store away for a minute after a change of the holder, nothing would be heard of new ends, those of best-effort jobs included.

Change: beyond 400 ends that are not acknowledged a worker's ends are acknowledged all the same. The pool knows them, so they are lost only if it goes as well before the store is back. Besides, one holder looks for the keys of jobs that ended long ago, not each for its own: all read all of them.

--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -379,7 +380,8 @@
 // sweepInterval is the time between two looks for jobs that ended so long ago that nobody asks for them any more.
 const sweepInterval = time.Minute
 
-// sweep removes the keys of jobs that ended long ago.
+// sweep removes the keys of jobs that ended long ago. All ended jobs of two minutes have some megabytes at the users' peak, so
+// the holder of one group looks for those of all.
 func (k *keeper) sweep(ctx context.Context) {
 	k.mu.Lock()
 	for id, at := range k.ended {
@@ -388,6 +390,9 @@
 		}
 	}
 	k.mu.Unlock()
+	if groups := k.g.groups(); len(groups) == 0 || k.d.group != slices.Min(groups) {
+		return // one holder does it for all
+	}
 	snapshot, err := k.g.config.Store.Range(ctx, endedPrefix)
 	if err != nil {
 		return // the next look finds them
@@ -404,7 +409,7 @@
 	}
 	for _, item := range snapshot.Items {
 		var ended endedJob
-		if err := json.Unmarshal(item.Value, &ended); err == nil && (ended.Group != k.d.group || time.Since(ended.Ended) < k.g.settings.StatusTime+sweepMargin) {
+		if err := json.Unmarshal(item.Value, &ended); err == nil && time.Since(ended.Ended) < k.g.settings.StatusTime+sweepMargin {
 			continue
 		}
 		old.Expect = append(old.Expect, store.Condition{Key: item.Key, Revision: item.Revision})
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -49,7 +49,7 @@
 
 // endedJob is what the store has of a job that has ended.
 type endedJob struct {
-	Group string    `json:"group"` // that has run it, and removes the key in the end
+	Group string    `json:"group"` // that has run it
 	State JobState  `json:"state"`
 	Ended time.Time `json:"ended"`
 }
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -180,15 +180,22 @@
 	}
 }
 
+// maxUnacked bounds the ends of a worker that are not acknowledged. Workers list 500 at a time, so beyond it nothing would be
+// heard of new ones. The pool knows the older ones; they are lost only if it goes before the store is back.
+const maxUnacked = 400
+
 // ackable returns the sequence of the last end that may be acknowledged.
 func (p *Pool) ackable(n *node) int64 {
-	if !p.restored {
-		return n.acked
-	}
 	last := n.handled
 	for sequence := range n.pins {
 		last = min(last, sequence-1)
 	}
+	if !p.restored {
+		last = n.acked
+	}
+	if n.handled-last > maxUnacked {
+		return n.handled
+	}
 	return last
 }
 
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -379,3 +379,27 @@
 	f.run(3 * time.Second)
 	is.Equal(f.pool.(*Pool).Waiting()["quote"], 0)
 }
+
+// Guards against workers whose new ends are no longer heard of while the store is away for long: they list 500 at a time, and
+// none may be acknowledged before the stored jobs are known.
+func TestEndsAreHeardWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 1)
+	f.stored["none"] = &simStored{state: KeptCompleted} // the next holder has jobs to read
+	f.storeDelay = 1000_000
+	f.newPool()
+	f.run(50 * time.Millisecond)
+	short := quote
+	short.length, short.cores = 10*time.Millisecond, 1000
+	var keys []Key
+	for i := range 400 {
+		keys = append(keys, f.submit(short))
+		f.run(50*time.Millisecond + time.Duration(i+1)*40*time.Millisecond)
+	}
+	f.run(30 * time.Second)
+	is.True(f.workers["w00"].sequence > 500)
+	for _, key := range keys {
+		_, completed := f.verdicts[key].(Completed)
+		is.True(completed)
+	}
+}
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -203,7 +203,7 @@
 			replied = true
 			w.waiting = nil
 			r := f.report(w)
-			r.Ended = append([]worker.End(nil), w.ended...)
+			r.Ended = append([]worker.End(nil), w.ended[:min(len(w.ended), 500)]...)
 			for task, run := range w.runs {
 				progress := 0
 				if !w.stuck {
