Drop a test that cannot fail

The test of lost orders to stop passed with the mechanism out, since the lease of a silent worker lapses first.

--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -37,7 +37,6 @@
 	storedIDs    []string
 	gangs        map[string]*simGang
 	cancelled    map[string]bool // stored jobs that were cancelled
-	lostStops    int             // orders to stop that are still lost
 	faulty       bool            // faults are played, so that lasting tasks may be stopped
 	storeDelay   int             // longest time of a write in milliseconds
 	done         map[string]bool // tasks that have ended so
@@ -240,11 +239,6 @@
 				f.step(p, StartAnswer{Order: e.Order, Sent: sent, Report: r, Err: err})
 			})
 	case Stop:
-		if f.lostStops > 0 {
-			f.lostStops--
-			f.after(simTimeout, func() { f.step(p, StopAnswer{Order: e.Order, Err: openError{}}) })
-			return
-		}
 		f.call(e.Order.ID, simTimeout, false,
 			func(w *simWorker) (worker.Report, error) { return f.stopOn(w, e.Order) },
 			func(r worker.Report, err error) { f.step(p, StopAnswer{Order: e.Order, Report: r, Err: err}) })
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -414,19 +414,3 @@
 		is.True(completed)
 	}
 }
-
-// Guards against a lasting task that runs on for ever after its job was cancelled, since the order to stop was lost.
-func TestLostOrderToStopIsRepeated(t *testing.T) {
-	is := is.New(t)
-	f := newFleet(t, 5, 2)
-	f.faulty = true
-	f.run(20 * time.Millisecond)
-	id := f.keepLasting(2, 1)
-	f.run(300 * time.Millisecond)
-	f.lostStops = 4
-	f.cancelled[id] = true
-	f.step(f.pool, Cancel{Job: id})
-	f.run(4 * time.Second)
-	n, _ := f.atWork(id)
-	is.Equal(n, 0)
-}
