--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -37,11 +37,11 @@
 	d *driver
 
 	mu       sync.Mutex
-	restored int64                 // revision as of which the jobs were read, 0 before that
-	early    []store.Item          // that came before the jobs were read
-	jobs     map[string]*storedJob // by the id under which the pool has them
-	series   map[string]*storedJob // scheduled jobs, which the pool does not have
-	ended    map[string]time.Time
+	restored int64                     // revision as of which the jobs were read, 0 before that
+	early    []store.Item              // that came before the jobs were read
+	jobs     map[string]*storedJob     // by the id under which the pool has them
+	series   map[string]*storedJob     // scheduled jobs, which the pool does not have
+	ended    map[string]time.Time      // by the name of the key
 	saves    map[string]placement.Save // to be written, by job
 	wake     chan struct{}
 	interval time.Duration // of run only
@@ -56,8 +56,8 @@
 
 func newKeeper(g *Gateway, d *driver) *keeper {
 	return &keeper{
-		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{}, saves: map[string]placement.Save{}, wake: make(chan struct{}, 1),
-		interval: saveInterval,
+		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{},
+		saves: map[string]placement.Save{}, wake: make(chan struct{}, 1), interval: saveInterval,
 	}
 }
 
@@ -140,6 +140,7 @@
 // first one are named like those of a job without a schedule.
 func poolID(name string) string { return strings.TrimSuffix(name, ".0") }
 
+// add hands a job to the pool that it does not have yet, or takes note of a newer revision of one; it says whether it did.
 func (k *keeper) add(ctx context.Context, item store.Item, resumed bool) bool {
 	name := nameOf(item.Key)
 	var open openJob
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// restored takes in that all jobs are known that the store had for the group when its holder changed.
+// takeRestored takes in that all jobs are known that the store had for the group when its holder changed.
 func (p *Pool) takeRestored() {
 	if p.restored {
 		return
