Let the load of the soak settle before jobs are judged

Ruled out: a worker that is left out or an expected time that is too long (the expected 308 ms are those of the queue); a fault after the faults are over (all other judged jobs were served, in under 0.4 s).

Change: a second without load before the judged time.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,7 @@
 	resendTime = 1300 * time.Millisecond
 	budget     = 4 * time.Second
 	calmTime   = 6 * time.Second // after the faults, before service is judged
+	settleTime = time.Second     // without load before the judged time: the longest jobs take 0.7 s
 	judgeTime  = 4 * time.Second
 	busyPause  = 60 * time.Millisecond  // mean time between jobs: half of the capacity, beyond it in bursts
 	calmPause  = 300 * time.Millisecond // while service is judged: a tenth of the capacity, by which no job is refused
@@ -190,9 +191,10 @@
 	var group errgroup.Group
 	end := time.Now().Add(length)
 	group.Go(func() error { return c.faults(rand.New(rand.NewPCG(seed, 3)), end) })
-	for sequence := seed << 32; time.Now().Before(end.Add(calmTime + judgeTime)); sequence++ {
+	for sequence := seed << 32; time.Now().Before(end.Add(calmTime + settleTime + judgeTime)); sequence++ {
 		pause := busyPause
 		if time.Now().After(end.Add(calmTime)) {
+			time.Sleep(time.Until(end.Add(calmTime + settleTime)))
 			pause = calmPause
 			l.mu.Lock()
 			l.judging = true
