--- a/job/work.go
+++ b/job/work.go
@@ -58,6 +58,7 @@
 	Stretch     float64       `json:"stretch,omitempty"`      // the objective is the ideal run time multiplied by it ...
 	Target      time.Duration `json:"target,omitempty"`       // ... and this added
 	Timeout     time.Duration `json:"timeout,omitempty"`
+	Tickets     bool          `json:"tickets,omitempty"` // workers start tasks with a ticket of another service only
 }
 
 // Schedule says when the steps of a work run; the zero value stands for once, at once.
