--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -104,12 +104,7 @@
 		{Count: width, Estimate: c.length, Need: worker.Resources{MilliCores: c.cores, MemoryMiB: 64}, Gang: true},
 	}}
 	p := job.Policy{Route: c.route, Service: "cue", Priority: c.priority, MaxAttempts: c.attempts, Stretch: 1.6, Target: 60 * time.Millisecond}
-	f.known[w.ID] = &simJob{work: w, policy: p, sent: f.now, length: c.length}
-	m := Submit{Work: w, Policy: p, Kept: true}
-	f.stored[w.ID] = &simStored{Submit: m}
-	f.storedIDs = append(f.storedIDs, w.ID)
-	f.step(f.pool, m)
-	return w.ID
+	return f.store(w, p, c.length)
 }
 
 // Guards against a gang of which some tasks wait for others that have no room, and against one that starves behind narrow
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -31,6 +31,11 @@
 		w.Steps = append(w.Steps, s)
 	}
 	p := job.Policy{Route: c.route, Service: "cue", Priority: c.priority, MaxAttempts: c.attempts, Stretch: 1.6, Target: 60 * time.Millisecond}
+	return f.store(w, p, length)
+}
+
+// store puts a job into the simulated store and hands it to the pool.
+func (f *fleet) store(w job.Work, p job.Policy, length time.Duration) string {
 	f.known[w.ID] = &simJob{work: w, policy: p, sent: f.now, length: length}
 	m := Submit{Work: w, Policy: p, Kept: true}
 	f.stored[w.ID] = &simStored{Submit: m}
@@ -244,12 +249,7 @@
 		Count: count, Estimate: time.Second, Need: worker.Resources{MilliCores: 20000, MemoryMiB: 64}, Lasting: true, MaxDisrupted: maxDisrupted,
 	}}}
 	p := job.Policy{Route: "lasting", Service: "cue", MaxAttempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond}
-	f.known[w.ID] = &simJob{work: w, policy: p, sent: f.now}
-	m := Submit{Work: w, Policy: p, Kept: true}
-	f.stored[w.ID] = &simStored{Submit: m}
-	f.storedIDs = append(f.storedIDs, w.ID)
-	f.step(f.pool, m)
-	return w.ID
+	return f.store(w, p, 0)
 }
 
 // atWork returns the number of tasks of a job that run on workers, and the workers.
