Count the bytes that a VM sends and receives by purpose

Change: package traffic counts payload bytes by purpose: calls to the store and to workers, messages between VMs, callers. They are served as metrics and logged every 5 s. Clients of the store and of workers are made from configuration structs.

--- a/cmd/samphireplank-standin/endpoint.go
+++ b/cmd/samphireplank-standin/endpoint.go
@@ -66,7 +66,7 @@
 	if len(c.Platform) > 0 {
 		var all store.Several
 		for _, address := range c.Platform {
-			all = append(all, platform.NewStore(strings.TrimPrefix(address, "http://")))
+			all = append(all, platform.NewStore(platform.StoreConfig{Address: strings.TrimPrefix(address, "http://")}))
 		}
 		registrar = store.NewShared(all, 0)
 	}
--- a/cmd/samphireplank/connect.go
+++ b/cmd/samphireplank/connect.go
@@ -40,7 +40,7 @@
 func keyspaces(addresses []string, zone string, timeout time.Duration) store.Several {
 	var all store.Several
 	for _, address := range addresses {
-		all = append(all, platform.NewStoreFrom(zone, strings.TrimPrefix(address, "http://"), timeout))
+		all = append(all, platform.NewStore(platform.StoreConfig{Zone: zone, Address: strings.TrimPrefix(address, "http://"), Timeout: timeout}))
 	}
 	return all
 }
--- a/cmd/samphireplank/serve.go
+++ b/cmd/samphireplank/serve.go
@@ -17,6 +17,7 @@
 	"samphireplank.example/samphireplank/gateway"
 	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/platform"
+	"samphireplank.example/samphireplank/traffic"
 )
 
 // logLines bounds the log lines that wait to be written; more are dropped and counted.
@@ -38,14 +39,16 @@
 	out, dropped := boundedLog(e.Out)
 	defer func() { _ = out.Close() }() // the process ends
 	rules := placement.DefaultRules()
+	account := traffic.NewAccount()
 	g := gateway.New(gateway.Config{
 		Settings: settings,
-		Store:    platform.NewStore(settings.StoreAddress),
-		Workers:  platform.NewWorkers(rules.StartTimeout, rules.HoldSlack),
+		Store:    platform.NewStore(platform.StoreConfig{Address: settings.StoreAddress, Traffic: account}),
+		Workers:  platform.NewWorkers(platform.WorkersConfig{Timeout: rules.StartTimeout, HoldSlack: rules.HoldSlack, Traffic: account}),
 		Codec:    platform.Codec{},
 		Front:    platform.Front,
 		Rules:    rules,
 		Claims:   claim.DefaultRules(),
+		Traffic:  account,
 		Log:      zerolog.New(out).Level(e.Log.GetLevel()).With().Timestamp().Logger(),
 	})
 	g.CountDropped(dropped.Load)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"samphireplank.example/samphireplank/peer"
 	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/store"
+	"samphireplank.example/samphireplank/traffic"
 )
 
 // Gateway is a VM of the system.
@@ -95,7 +96,7 @@
 		g.log.Warn().Str("event", "settings").Int64("margin-ms", margin.Milliseconds()).Msg("clients send again before the tasks of a dead VM are certainly stopped")
 	}
 	g.tasks.Go(func() error {
-		if err := peer.Listen(work, links, g.self, inbound{g}); err != nil {
+		if err := peer.Listen(work, links, g.peers(), inbound{g}); err != nil {
 			g.log.Error().Str("event", "link-listener").Err(err).Msg("listener for other VMs ended")
 		}
 		return nil
@@ -106,6 +107,7 @@
 	g.background(work, g.register)
 	g.background(work, g.connect)
 	g.background(work, g.beat)
+	g.background(work, g.logTraffic)
 	g.background(work, g.holdGroups)
 	g.background(work, g.tickDrivers)
 	g.background(work, g.followKept)
@@ -136,6 +138,31 @@
 	}
 }
 
+// peers returns what connections to other VMs are made with.
+func (g *Gateway) peers() peer.Config { return peer.Config{Self: g.self, Traffic: g.config.Traffic} }
+
+// trafficInterval is the time between two log lines about traffic; each has one field per purpose and direction.
+const trafficInterval = 5 * time.Second
+
+// logTraffic logs the rates of traffic by purpose.
+func (g *Gateway) logTraffic(ctx context.Context) {
+	before := map[string]traffic.Flow{}
+	for {
+		pause(ctx, trafficInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		line := g.log.Info().Str("event", "traffic").Str("unit", "bytes/s")
+		for _, f := range g.config.Traffic.Flows() {
+			was := before[f.Purpose]
+			before[f.Purpose] = f
+			seconds := int64(trafficInterval / time.Second)
+			line = line.Ints64(f.Purpose, []int64{(f.Messages - was.Messages) / seconds, (f.Sent - was.Sent) / seconds, (f.Received - was.Received) / seconds})
+		}
+		line.Msg("messages sent, bytes sent and bytes received a second, by purpose")
+	}
+}
+
 func (g *Gateway) background(ctx context.Context, f func(context.Context)) {
 	g.tasks.Go(func() error {
 		f(ctx)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -93,7 +93,7 @@
 		g.background(ctx, func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, watchWait)
 			defer cancel()
-			if err := peer.Dial(ctx, address, g.self, asking{g}); err != nil && ctx.Err() == nil {
+			if err := peer.Dial(ctx, address, g.peers(), asking{g}); err != nil && ctx.Err() == nil {
 				g.log.Debug().Str("event", "seed-silent").Str("address", address).Err(err).Send()
 			}
 		})
@@ -120,7 +120,7 @@
 	l := &link{vm: vm, address: address, downSince: time.Now().Add(firstContact), lost: make(chan struct{}), stop: stop, holds: map[string]int64{}}
 	g.background(ctx, func(ctx context.Context) {
 		for ctx.Err() == nil {
-			if err := peer.Dial(ctx, address, g.self, outbound{g, l}); err != nil && ctx.Err() == nil {
+			if err := peer.Dial(ctx, address, g.peers(), outbound{g, l}); err != nil && ctx.Err() == nil {
 				g.dialFailed(l)
 				pause(ctx, redialDelay)
 			}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/traffic"
 )
 
 // Front turns the requests of callers into calls of a Gateway and its replies into answers.
@@ -144,6 +146,7 @@
 func (g *Gateway) metrics(ctx *fasthttp.RequestCtx) {
 	var b bytes.Buffer
 	g.meter.write(&b)
+	g.config.Traffic.WriteMetrics(&b)
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBody(b.Bytes())
 }
@@ -160,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: conn}, nil
+	return &watchedConn{Conn: traffic.Conn{Conn: conn, Account: l.g.config.Traffic, Purpose: "callers"}}, nil
 }
 
 // watchedConn is a connection that can be read ahead by one byte.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,6 +10,7 @@
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/store"
+	"samphireplank.example/samphireplank/traffic"
 	"samphireplank.example/samphireplank/worker"
 )
 
@@ -80,5 +81,6 @@
 	Front    Front
 	Rules    placement.Rules
 	Claims   claim.Rules
+	Traffic  *traffic.Account // may be nil
 	Log      zerolog.Logger
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/traffic"
 )
 
 const (
@@ -30,8 +32,15 @@
 // ErrBehind means that the peer did not read its messages in time.
 var ErrBehind = errors.New("peer does not read its messages")
 
+// Config is what all connections of a VM have in common.
+type Config struct {
+	Self    Hello
+	Traffic *traffic.Account // may be nil
+}
+
 // Conn is a connection to another VM.
 type Conn struct {
+	config Config
 	conn   net.Conn
 	out    chan Message
 	closed chan struct{}
@@ -72,17 +81,17 @@
 }
 
 // Dial opens a connection and serves it until it ends.
-func Dial(ctx context.Context, address string, self Hello, handler Handler) error {
+func Dial(ctx context.Context, address string, config Config, handler Handler) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return serve(ctx, conn, self, handler)
+	return serve(ctx, conn, config, handler)
 }
 
 // Listen serves connections until ctx ends.
-func Listen(ctx context.Context, listener net.Listener, self Hello, handler Handler) error {
+func Listen(ctx context.Context, listener net.Listener, config Config, handler Handler) error {
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // Accept returns the error
 	defer stop()
@@ -95,18 +104,18 @@
 			return errors.Join(err, group.Wait())
 		}
 		group.Go(func() error {
-			_ = serve(ctx, conn, self, handler) // the handler has learnt the error
+			_ = serve(ctx, conn, config, handler) // the handler has learnt the error
 			return nil
 		})
 	}
 }
 
-func serve(ctx context.Context, conn net.Conn, self Hello, handler Handler) error {
-	c := &Conn{conn: conn, out: make(chan Message, outgoingMessages), closed: make(chan struct{})}
+func serve(ctx context.Context, conn net.Conn, config Config, handler Handler) error {
+	c := &Conn{config: config, conn: conn, out: make(chan Message, outgoingMessages), closed: make(chan struct{})}
 	stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
 	defer stop()
 	var group errgroup.Group
-	c.out <- self
+	c.out <- config.Self
 	group.Go(func() error {
 		err := c.write()
 		c.Close(err)
@@ -122,7 +131,8 @@
 }
 
 func (c *Conn) read(handler Handler) error {
-	decoder := gob.NewDecoder(bufio.NewReaderSize(c.conn, flushBytes))
+	buffer := &countedReader{Reader: bufio.NewReaderSize(c.conn, flushBytes)}
+	decoder := gob.NewDecoder(buffer)
 	for {
 		if err := c.conn.SetReadDeadline(time.Now().Add(SilenceTime)); err != nil {
 			return err
@@ -131,6 +141,7 @@
 		if err := decoder.Decode(&e); err != nil {
 			return err
 		}
+		c.config.Traffic.Receive(purpose(e.Message), buffer.take())
 		if hello, ok := e.Message.(Hello); ok {
 			c.remote = hello
 			handler.Opened(c)
@@ -145,7 +156,8 @@
 
 func (c *Conn) write() error {
 	buffer := bufio.NewWriterSize(c.conn, flushBytes)
-	encoder := gob.NewEncoder(buffer)
+	counted := &countedWriter{Writer: buffer}
+	encoder := gob.NewEncoder(counted)
 	for {
 		var m Message
 		select {
@@ -156,6 +168,7 @@
 		if err := encoder.Encode(envelope{m}); err != nil {
 			return err
 		}
+		c.config.Traffic.Send(purpose(m), counted.take())
 		if len(c.out) > 0 {
 			continue
 		}
--- a/peer/message.go
+++ b/peer/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/gob"
+	"reflect"
+	"strings"
 	"time"
 
 	"samphireplank.example/samphireplank/job"
@@ -122,9 +124,13 @@
 // envelope carries a message, since a codec needs a concrete type.
 type envelope struct{ Message Message }
 
+// purposes are the names of messages in the counts of traffic, by type.
+var purposes = map[reflect.Type]string{}
+
 func init() {
 	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
 		gob.Register(m)
+		purposes[reflect.TypeOf(m)] = "peer-" + strings.ToLower(reflect.TypeOf(m).Name())
 	}
 }
 
--- a/store/contract_test.go
+++ b/store/contract_test.go
@@ -45,7 +45,7 @@
 	}
 	var all store.Several
 	for _, address := range cfg.addresses {
-		all = append(all, platform.NewStoreFrom(cfg.zone, address, cfg.timeout))
+		all = append(all, platform.NewStore(platform.StoreConfig{Zone: cfg.zone, Address: address, Timeout: cfg.timeout}))
 	}
 	return store.NewShared(all, cfg.wait)
 }
--- /dev/null
+++ b/traffic/doc.go
@@ -0,0 +1,2 @@
+// Package traffic counts the bytes that a VM sends and receives, by purpose.
+package traffic
