Wait longer for answers of workers while a link is full

Cause: an order that waits 60 ms for its answer is repeated on a new connection.

Ruled out: a fixed longer time-out, which keeps work on silent workers of wide links for longer.

Change: the pool learns how long answers take (mean and four deviations, 60 to 300 ms) and sets the time-out of each order; holds wait less while answers come late, so that two tries stay within the lease.

--- a/cmd/samphireplank/serve.go
+++ b/cmd/samphireplank/serve.go
@@ -39,11 +39,11 @@
 	out, dropped := boundedLog(e.Out)
 	defer func() { _ = out.Close() }() // the process ends
 	rules := placement.DefaultRules()
-	account := traffic.NewAccount()
+	account := traffic.NewAccount(traffic.AccountConfig{Rate: settings.LinkRate})
 	g := gateway.New(gateway.Config{
 		Settings: settings,
 		Store:    platform.NewStore(platform.StoreConfig{Address: settings.StoreAddress, Traffic: account}),
-		Workers:  platform.NewWorkers(platform.WorkersConfig{Timeout: rules.StartTimeout, HoldSlack: rules.HoldSlack, Traffic: account}),
+		Workers:  platform.NewWorkers(platform.WorkersConfig{Traffic: account}),
 		Codec:    platform.Codec{},
 		Front:    platform.Front,
 		Rules:    rules,
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -29,6 +29,7 @@
 	ResendTime     time.Duration // after which a client sends a job again that got no answer
 	Seeds          []string      // link addresses of VMs to ask while the store is out of reach
 	Weight         float64       // processor share of the VM
+	LinkRate       float64       // of the VM's link in bytes a second, 0 if it is not known
 }
 
 // Route selects requests and says how their jobs are run.
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -31,6 +31,9 @@
 	listed   Fleet
 	listedAt time.Time
 	fenced   bool
+	link     simLink
+	rules    Rules
+	starts   int           // orders to start
 	wasted   time.Duration // core time of runs that were not done, in units of one core
 
 	stored       map[string]*simStored
@@ -148,7 +151,7 @@
 		workers: map[string]*simWorker{}, alive: map[string]int{}, begun: map[string]bool{},
 		verdicts: map[Key]Verdict{}, jobs: map[Key]*simJob{}, known: map[string]*simJob{},
 	}
-	f.start = f.now
+	f.start, f.rules = f.now, DefaultRules()
 	paces := []float64{1.25, 1, 0.8}
 	for i := range count {
 		cores := 64000
@@ -173,7 +176,7 @@
 func (f *fleet) newPool() {
 	f.pools++
 	f.fenced = false
-	config := Config{Fence: f.fence(), Rules: DefaultRules(), Restoring: len(f.stored) > 0}
+	config := Config{Fence: f.fence(), Rules: f.rules, Restoring: len(f.stored) > 0}
 	if before, ok := f.pool.(*Pool); ok {
 		config.Lasting = before.Lasting()
 	}
@@ -233,7 +236,8 @@
 	switch e := e.(type) {
 	case Start:
 		sent := f.now
-		f.call(e.Order.ID, simTimeout, true,
+		f.starts++
+		f.call(e.Order.ID, f.link.timeout(e.Order.Timeout), true,
 			func(w *simWorker) (worker.Report, error) { return f.startOn(w, e.Order) },
 			func(r worker.Report, err error) {
 				f.step(p, StartAnswer{Order: e.Order, Sent: sent, Report: r, Err: err})
@@ -286,7 +290,7 @@
 		f.after(time.Duration(2+f.rand.IntN(10))*time.Second, func() { _, _ = do(w) })
 		return
 	}
-	f.after(simHop, func() {
+	f.after(simHop+f.link.send(f.now), func() {
 		if w.dark {
 			return
 		}
@@ -298,6 +302,34 @@
 	})
 }
 
+// simLink is the holder's link to its workers: orders leave it one after the other. A rate of 0 takes no time.
+type simLink struct {
+	rate  float64 // bytes a second
+	empty time.Time
+}
+
+// simOrderBytes is the size of an order of the users' standard days with its headers.
+const simOrderBytes = 1300
+
+func (l *simLink) send(now time.Time) time.Duration {
+	if l.rate == 0 {
+		return 0
+	}
+	if l.empty.Before(now) {
+		l.empty = now
+	}
+	l.empty = l.empty.Add(time.Duration(simOrderBytes / l.rate * float64(time.Second)))
+	return l.empty.Sub(now)
+}
+
+// timeout returns the time-out of an order: that of the pool on a link that takes time.
+func (l *simLink) timeout(order time.Duration) time.Duration {
+	if l.rate == 0 {
+		return simTimeout
+	}
+	return order
+}
+
 // simClass is a kind of job of a load.
 type simClass struct {
 	route    string
--- a/placement/node.go
+++ b/placement/node.go
@@ -201,6 +201,7 @@
 		default:
 			continue
 		}
+		order.Timeout = order.Wait + p.holdSlack()
 		n.holding, n.heldAt = true, p.now
 		n.probeAt = p.now.Add(p.rules.ProbeInterval)
 		if n.foreign > 0 {
@@ -212,15 +213,19 @@
 
 func target(n *node) worker.Target { return worker.Target{ID: n.ID, Address: n.Address} }
 
-// holdWait returns how long a hold may wait for an end: less if a run is to be judged earlier.
+// holdWait returns how long a hold may wait for an end: less if a run is to be judged earlier, or if two tries would
+// outlast the lease since answers come late.
 func (p *Pool) holdWait(n *node) time.Duration {
-	wait := p.rules.HoldWait
+	wait := min(p.rules.HoldWait, p.rules.LeaseTime-2*p.holdSlack()-leaseMargin)
 	for _, r := range n.runs {
 		wait = min(wait, r.judgeAt.Sub(p.now))
 	}
 	return max(wait, p.rules.OverdueWait)
 }
 
+// leaseMargin is kept of the lease for the way of the second try of a hold.
+const leaseMargin = 100 * time.Millisecond
+
 // holdAnswered takes in what a worker lists.
 func (p *Pool) holdAnswered(m HoldAnswer) {
 	n := p.nodes[m.Order.ID]
@@ -298,7 +303,7 @@
 		// Keeps the runs alive until the entry VMs have said which of them they still need.
 		n.lease = p.now
 		n.probeAt = p.now
-		p.emit(Hold{worker.HoldOrder{Target: target(n), Fence: p.fence, Lease: p.extend(n)}})
+		p.emit(Hold{worker.HoldOrder{Target: target(n), Fence: p.fence, Lease: p.extend(n), Timeout: p.holdSlack()}})
 		n.holding, n.heldAt = true, p.now
 	}
 }
--- /dev/null
+++ b/placement/patience_test.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against time-outs that are shorter than the queue on a link of 250 KB a second: each repeats an order, and the
+// repeated orders keep the queue long after the load has gone.
+func TestNarrowLink(t *testing.T) {
+	is := is.New(t)
+	play := func(longest time.Duration) (repeated float64, o outcome) {
+		f := newFleet(t, 1, 16)
+		f.link.rate = 250_000
+		f.rules.MaxStartTimeout = longest
+		f.newPool()
+		calm(f, 1)
+		wide := knot
+		wide.width = 24
+		f.load(wide, 12, 3*time.Second, 5*time.Second)
+		f.run(loadTime + 4*time.Second)
+		began := 0
+		for _, w := range f.workers {
+			began += int(w.sequence) + len(w.runs)
+		}
+		o, _ = f.score()
+		return float64(f.starts-began) / float64(began), o
+	}
+	fixed, out := play(DefaultRules().StartTimeout)
+	t.Logf("without patience: %.3f of the starts were repeated, %s", fixed, out)
+	adapted, o := play(DefaultRules().MaxStartTimeout)
+	t.Logf("with patience: %.3f of the starts were repeated, %s", adapted, o)
+	is.True(fixed > 0.1) // the load shows the failure
+	is.True(adapted < 0.05)
+	is.True(o.worth() > out.worth())
+}
+
+// Guards against a pool that waits long for the workers that answer since one worker does not.
+func TestSilentWorkerKeepsTimeoutsShort(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 16)
+	f.workers["w03"].dark = true
+	calm(f, 1)
+	f.run(6 * time.Second)
+	is.True(f.pool.(*Pool).timeout() < 2*DefaultRules().StartTimeout)
+}
+
+// Guards against holds that wait so long for an end that the lease lapses before a second try is answered.
+func TestHoldWaitLeavesTimeForTwoTries(t *testing.T) {
+	is := is.New(t)
+	p := New(Config{Fence: 1, Rules: DefaultRules()})
+	for range 50 {
+		p.patience.observe(400 * time.Millisecond)
+	}
+	is.Equal(p.timeout(), p.rules.MaxStartTimeout)
+	n := newNode(newFleet(t, 1, 1).workers["w00"].Worker)
+	is.True(p.holdWait(n)+2*p.holdSlack() < p.rules.LeaseTime)
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -33,6 +33,7 @@
 	tasks     map[string]*run  // runs that may be alive, by task
 	found     map[string]found // runs of an earlier holder, by task
 	durations map[string]float64
+	patience  patience
 	kept      map[string]*batch // stored jobs until their end is stored
 	changed   []*batch          // stored jobs with something new to store
 	listed    []listedEnd
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -9,6 +9,7 @@
 	HoldWait        time.Duration // longest wait of a hold; the rest of the lease is for two more tries
 	OverdueWait     time.Duration // shortest wait of a hold, while a run is overdue
 	StartTimeout    time.Duration // for the answer to a start or a stop; the network takes 1 to 2 ms, and the tasks of urgent jobs 60 ms
+	MaxStartTimeout time.Duration // the same while answers come late; with two tries and a hold it stays below the lease
 	HoldSlack       time.Duration // for the answer to a hold beyond its wait
 	ProbeInterval   time.Duration // between two holds of a worker that does not answer
 	AckDelay        time.Duration // idle time after which the last ends are acknowledged
@@ -33,6 +34,7 @@
 		HoldWait:        600 * time.Millisecond,
 		OverdueWait:     60 * time.Millisecond,
 		StartTimeout:    60 * time.Millisecond,
+		MaxStartTimeout: 300 * time.Millisecond,
 		HoldSlack:       120 * time.Millisecond,
 		ProbeInterval:   250 * time.Millisecond,
 		AckDelay:        300 * time.Millisecond,
--- a/placement/run.go
+++ b/placement/run.go
@@ -56,6 +56,7 @@
 		Spec:       r.batch.work.Spec,
 		Lease:      r.lease,
 		Fence:      p.fence,
+		Timeout:    p.timeout(),
 		Checkpoint: r.batch.steps[r.step].tasks[r.index].resumeAt,
 	}})
 }
@@ -74,6 +75,7 @@
 
 // startAnswered takes in the answer to a start.
 func (p *Pool) startAnswered(m StartAnswer) {
+	p.observeAnswer(m)
 	n, r := p.find(m.Order.ID, m.Order.Run)
 	if r == nil {
 		return
@@ -93,6 +95,23 @@
 	p.startOpen(n, r, m.Err)
 }
 
+// observeAnswer learns how long answers take.
+func (p *Pool) observeAnswer(m StartAnswer) {
+	took := p.now.Sub(m.Sent)
+	if m.Err != nil {
+		reason, rejected := worker.Rejection(m.Err)
+		switch {
+		case reason == worker.ReasonNoConn:
+			return
+		case !rejected && took < m.Order.Timeout:
+			return // the connection broke
+		case !rejected:
+			took = time.Duration(openFactor * float64(took))
+		}
+	}
+	p.patience.observe(took)
+}
+
 func (p *Pool) startRejected(n *node, r *run, reason worker.Reason, m StartAnswer) {
 	if m.Report.Clock > 0 {
 		p.readClock(n, m.Report, nil)
@@ -171,7 +190,7 @@
 
 func (p *Pool) sendStop(r *run) {
 	r.stopAt = p.now
-	p.emit(Stop{worker.StopOrder{Target: target(r.node), Run: worker.Run{Task: r.name, Number: r.number}, Fence: p.fence}})
+	p.emit(Stop{worker.StopOrder{Target: target(r.node), Run: worker.Run{Task: r.name, Number: r.number}, Fence: p.fence, Timeout: p.timeout()}})
 }
 
 // stopAnswered takes in the answer to a stop: a run that had not begun never will.
--- a/traffic/account.go
+++ b/traffic/account.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -22,14 +23,22 @@
 
 // Account sums up the traffic of a process by purpose; a nil Account counts nothing.
 type Account struct {
-	mu    sync.RWMutex
-	flows map[string]*counters
+	mu     sync.RWMutex
+	flows  map[string]*counters
+	uplink uplink
+}
+
+// AccountConfig configures an Account.
+type AccountConfig struct {
+	Rate float64 // of the VM's link in bytes a second, 0 if it is not known
 }
 
 type counters struct{ messages, sent, received atomic.Int64 }
 
 // NewAccount returns an Account without traffic.
-func NewAccount() *Account { return &Account{flows: map[string]*counters{}} }
+func NewAccount(config AccountConfig) *Account {
+	return &Account{flows: map[string]*counters{}, uplink: uplink{rate: config.Rate}}
+}
 
 func (a *Account) of(purpose string) *counters {
 	a.mu.RLock()
@@ -54,6 +63,7 @@
 	c := a.of(purpose)
 	c.messages.Add(1)
 	c.sent.Add(int64(bytes))
+	a.uplink.add(time.Now(), bytes)
 }
 
 // Receive counts received bytes.
@@ -64,6 +74,14 @@
 	a.of(purpose).received.Add(int64(bytes))
 }
 
+// Backlog returns the time until what was sent so far has left the VM by its link.
+func (a *Account) Backlog() time.Duration {
+	if a == nil {
+		return 0
+	}
+	return a.uplink.backlog(time.Now())
+}
+
 // Flows returns the sums since the start, the largest first.
 func (a *Account) Flows() []Flow {
 	if a == nil {
--- a/traffic/account_test.go
+++ b/traffic/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -10,7 +11,7 @@
 // Guards against counts that mix purposes or directions, and against a crash without an account.
 func TestAccount(t *testing.T) {
 	is := is.New(t)
-	a := NewAccount()
+	a := NewAccount(AccountConfig{})
 	a.Send("start", 900)
 	a.Send("start", 1100)
 	a.Receive("watch", 5000)
@@ -23,3 +24,21 @@
 	none.Receive("start", 1)
 	is.Equal(len(none.Flows()), 0)
 }
+
+// Guards against time-outs that end while a request is still queued on the VM's own link.
+func TestUplink(t *testing.T) {
+	is := is.New(t)
+	u := uplink{rate: 250_000}
+	now := time.Unix(1_700_000_000, 0)
+	for range 8 {
+		u.add(now, 1250-packetBytes)
+	}
+	is.Equal(u.backlog(now).Round(time.Millisecond), 40*time.Millisecond) // 10,000 bytes at 250,000 a second
+	is.Equal(u.backlog(now.Add(30*time.Millisecond)).Round(time.Millisecond), 10*time.Millisecond)
+	is.Equal(u.backlog(now.Add(time.Second)), time.Duration(0))
+	u.add(now, 10_000_000)
+	is.Equal(u.backlog(now), maxBacklog)
+	unknown := uplink{}
+	unknown.add(now, 10_000)
+	is.Equal(unknown.backlog(now), time.Duration(0))
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -115,13 +115,15 @@
 	Lease      time.Duration // time on the worker's clock until which everything on it may run
 	Fence      int64
 	Checkpoint string
+	Timeout    time.Duration // for the answer
 }
 
 // StopOrder tells a worker to stop a run.
 type StopOrder struct {
 	Target
 	Run
-	Fence int64
+	Fence   int64
+	Timeout time.Duration // for the answer
 }
 
 // HoldOrder renews a worker's lease, acknowledges ends and asks what runs there.
@@ -131,6 +133,7 @@
 	Acknowledged int64         // ends up to this sequence need not be listed again
 	Lease        time.Duration // as in StartOrder; zero leaves the lease as it is
 	Wait         time.Duration // the worker answers after it, or as soon as an end is listed
+	Timeout      time.Duration // for the answer, with the wait
 }
 
 // Report is a worker's answer.
