Let the VM of a job send its starts on narrow links

Cause: the spec of a job crossed three links (entry VM, holder, and once more for each task), each of which takes 5 ms for 1.2 KB at 2 Mbit/s; the starts of five holders filled their links while twelve other VMs sent a tenth of theirs.

Weighed: more and smaller groups (room for wide jobs goes: 6 workers hold 14 tasks); smaller messages (the protocol of the workers asks for the spec in each start). Chosen: the holder decides as before, and a VM of its zone whose link takes 5 ms or more for the starts of a job sends them itself and reports the answers. The spec stays at the VM of the caller. After an open start the answer brings the spec and the holder goes on by itself; a lost VM's starts are stopped.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -24,6 +24,7 @@
 	tasks   *errgroup.Group
 	log     zerolog.Logger
 	answer  func(key placement.Key, verdict placement.Verdict, loads map[string]placement.Load)
+	hand    func(to placement.Key, orders peer.Orders) bool // to the VM of a submission; false if it is out of reach
 	meter   *meter
 	keeper  *keeper
 
@@ -34,6 +35,7 @@
 	summary      map[string]placement.Load
 	summaryAt    time.Time
 	seen         map[string]worker.Resources // size of the last task by service, for the summary of load
+	handed       map[worker.Run]handedStart  // starts that the VMs of submissions send and that have no answer yet
 }
 
 func (d *driver) apply(ctx context.Context, m placement.Message) {
@@ -43,9 +45,17 @@
 	}
 	effects := d.pool.Step(time.Now(), m)
 	d.mu.Unlock()
+	handed := map[placement.Key][]worker.StartOrder{}
 	for _, e := range effects {
+		if start, ok := e.(placement.Start); ok && start.By.Link != 0 {
+			handed[start.By] = append(handed[start.By], start.Order)
+			continue
+		}
 		d.carryOut(ctx, e)
 	}
+	for key, orders := range handed {
+		d.handOut(ctx, key, orders)
+	}
 }
 
 func (d *driver) carryOut(ctx context.Context, effect placement.Effect) {
@@ -157,7 +167,7 @@
 // submission translates a message of a peer.
 func submission(key placement.Key, m peer.Submit) placement.Submit {
 	return placement.Submit{
-		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress,
+		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress, Sends: m.Sends,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,8 @@
 	links       map[string]*link
 	inbound     map[*peer.Conn]uint64
 	drivers     map[string]*driver
-	pending     map[uint64]chan peer.Verdict
+	pending     map[uint64]*pendingAsk
+	unsent      time.Time             // when a start that this VM has sent for a holder had no answer
 	active      map[string]*activeJob // by job id
 	asked       map[string]offer      // groups that a stopping holder has offered
 	claimed     map[string]time.Time  // last claim by group
@@ -72,7 +73,7 @@
 		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{}, lasting: map[string][]string{},
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
-		pending: map[uint64]chan peer.Verdict{}, active: map[string]*activeJob{}, asked: map[string]offer{},
+		pending: map[uint64]*pendingAsk{}, active: map[string]*activeJob{}, asked: map[string]offer{},
 		claimed: map[string]time.Time{}, outranked: map[string]outranked{}, loads: map[string]map[string]placement.Load{}, seen: map[string]time.Time{},
 		kick: make(chan struct{}, 1),
 	}
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -328,7 +328,7 @@
 	sequence := g.nextRequest.Add(1)
 	answer := make(chan peer.Verdict, 1)
 	g.mu.Lock()
-	g.pending[sequence] = answer
+	g.pending[sequence] = &pendingAsk{answer: answer}
 	g.mu.Unlock()
 	h.conn.Send(peer.Ask{Sequence: sequence, Group: open.Group, Job: id})
 	timer := time.NewTimer(askTime)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -163,6 +163,8 @@
 		h.g.heard(c, h.l, m)
 	case peer.Verdict:
 		h.g.verdict(m)
+	case peer.Orders:
+		h.g.sendStarts(c, m)
 	case peer.Copy:
 		h.g.view.take(m)
 	case peer.Over:
@@ -248,6 +250,10 @@
 	switch m := m.(type) {
 	case peer.Submit:
 		h.submit(c, m)
+	case peer.Ordered:
+		if d := h.g.driverOf(m.Group); d != nil {
+			d.handedAnswered(h.g.ctx, h.id(c), m)
+		}
 	case peer.Withdraw:
 		for _, d := range h.g.allDrivers() {
 			d.apply(h.g.ctx, placement.Withdraw{Key: placement.Key{Link: h.id(c), Sequence: m.Sequence}, Reason: "the caller has left"})
@@ -323,6 +329,9 @@
 	delete(h.g.inbound, c)
 	h.g.mu.Unlock()
 	h.g.log.Warn().Str("event", "peer-lost").Str("peer", c.Remote().VM).Err(err).Send()
+	for _, d := range h.g.allDrivers() {
+		d.linkLost(h.g.ctx, id)
+	}
 	h.g.background(h.g.ctx, func(ctx context.Context) {
 		pause(ctx, linkGrace)
 		for _, d := range h.g.allDrivers() {
@@ -339,17 +348,31 @@
 		g.verdict(m)
 		return
 	}
+	if to := g.inboundConn(key.Link); to != nil {
+		to.Send(m)
+	}
+}
+
+// inboundConn returns the connection with a number, nil if it is lost.
+func (g *Gateway) inboundConn(link uint64) *peer.Conn {
 	g.mu.Lock()
-	var to *peer.Conn
+	defer g.mu.Unlock()
 	for c, id := range g.inbound {
-		if id == key.Link {
-			to = c
+		if id == link {
+			return c
 		}
 	}
-	g.mu.Unlock()
-	if to != nil {
-		to.Send(m)
+	return nil
+}
+
+// handTo leaves starts to the VM of a submission.
+func (g *Gateway) handTo(key placement.Key, m peer.Orders) bool {
+	c := g.inboundConn(key.Link)
+	if c == nil {
+		return false
 	}
+	c.Send(m)
+	return true
 }
 
 // verdict hands a verdict to the request that waits for it.
@@ -359,6 +382,6 @@
 	delete(g.pending, m.Sequence)
 	g.mu.Unlock()
 	if waiter != nil {
-		waiter <- m // has room for one
+		waiter.answer <- m // has room for one
 	}
 }
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -58,6 +58,12 @@
 	route  string
 }
 
+// pendingAsk is a message to a holder that waits for its answer.
+type pendingAsk struct {
+	answer chan peer.Verdict
+	spec   string // of the job that was handed over
+}
+
 // request is a submission on its way through this VM.
 type request struct {
 	Submission
@@ -375,9 +381,12 @@
 		Sequence: g.nextRequest.Add(1), Group: group, Work: r.Work, Policy: r.Policy, Age: time.Since(r.arrived), Budget: left,
 		Resumed: r.resumed, Progress: r.progress,
 	}
+	if g.sendsItself(r, group, h) {
+		m.Sends, m.Work.Spec = true, ""
+	}
 	answer := make(chan peer.Verdict, 1)
 	g.mu.Lock()
-	g.pending[m.Sequence] = answer
+	g.pending[m.Sequence] = &pendingAsk{answer: answer, spec: r.Work.Spec}
 	g.mu.Unlock()
 	if h.driver != nil {
 		h.driver.apply(g.ctx, submission(placement.Key{Sequence: m.Sequence}, m))
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,6 +8,7 @@
 
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/worker"
 )
 
 // Message is what VMs send to each other: one of the types of this file.
@@ -47,6 +48,26 @@
 	Budget   time.Duration
 	Resumed  bool
 	Progress placement.Progress
+	Sends    bool // the VM sends the starts itself; the work has no spec
+}
+
+// Orders asks the VM of a submission to send starts of its job.
+type Orders struct {
+	Sequence uint64 // of the submission
+	Group    string
+	Starts   []worker.StartOrder // without the spec
+}
+
+// Ordered tells the holder of the answer to a start of Orders.
+type Ordered struct {
+	Group string
+	worker.Run
+	Clock     time.Duration
+	Born      int64
+	Reason    worker.Reason // of a rejection, empty otherwise
+	Open      string        // why it is open whether the start has arrived, empty otherwise
+	Spec      string        // of the job, so that the holder can go on by itself after an open start
+	SpecKnown bool
 }
 
 // Withdraw takes a job back.
@@ -112,6 +133,8 @@
 func (Hello) message()     {}
 func (Heartbeat) message() {}
 func (Submit) message()    {}
+func (Orders) message()    {}
+func (Ordered) message()   {}
 func (Withdraw) message()  {}
 func (Verdict) message()   {}
 func (Stored) message()    {}
@@ -128,7 +151,7 @@
 var purposes = map[reflect.Type]string{}
 
 func init() {
-	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
+	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Orders{}, Ordered{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
 		gob.Register(m)
 		purposes[reflect.TypeOf(m)] = "peer-" + strings.ToLower(reflect.TypeOf(m).Name())
 	}
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -24,7 +24,9 @@
 	queued    bool
 	closed    bool // answered; its runs are being stopped
 	order     float64
-	lateness  int // as of the last placement
+	lateness  int  // as of the last placement
+	specless  bool // the spec is known to the sender only
+	sender    Key  // submission whose VM sends the starts, zero for the holder itself or if that VM is lost
 
 	kept      bool // stored; the fields below are used for such jobs only
 	state     KeptState
@@ -129,6 +131,7 @@
 	}
 	if same := p.byID[m.Work.ID]; same != nil && !same.closed {
 		same.keys[m.Key] = struct{}{}
+		same.joined(m)
 		p.jobs[m.Key] = same
 		same.deadline = p.now.Add(m.Budget)
 		p.note("job-joined", m.Work.ID, "", "the job is already here", nil)
@@ -157,6 +160,9 @@
 		due:     p.now.Add(m.Wait),
 		started: m.Resumed,
 	}
+	if m.Sends {
+		b.specless, b.sender = true, m.Key
+	}
 	b.deadline = p.now.Add(m.Budget)
 	for _, s := range m.Work.Steps {
 		b.steps = append(b.steps, step{tasks: make([]task, s.Count), left: s.Count})
@@ -227,6 +233,7 @@
 	delete(p.jobs, m.Key)
 	delete(b.keys, m.Key)
 	if len(b.keys) > 0 {
+		b.lose(m.Key)
 		return
 	}
 	p.note("job-withdrawn", b.work.ID, "", m.Reason, nil)
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -32,6 +32,8 @@
 	listedAt time.Time
 	fenced   bool
 	link     simLink
+	senders  uint64          // VMs that send the starts of their jobs themselves, by connections from 1 on
+	gone     map[uint64]bool // connections that are lost
 	rules    Rules
 	starts   int           // orders to start
 	wasted   time.Duration // core time of runs that were not done, in units of one core
@@ -149,7 +151,7 @@
 		stored: map[string]*simStored{}, cancelled: map[string]bool{}, gangs: map[string]*simGang{}, storeDelay: 5, done: map[string]bool{}, acknowledged: map[string]bool{}, failures: map[string]int{},
 		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		workers: map[string]*simWorker{}, alive: map[string]int{}, begun: map[string]bool{},
-		verdicts: map[Key]Verdict{}, jobs: map[Key]*simJob{}, known: map[string]*simJob{},
+		verdicts: map[Key]Verdict{}, jobs: map[Key]*simJob{}, known: map[string]*simJob{}, gone: map[uint64]bool{},
 	}
 	f.start, f.rules = f.now, DefaultRules()
 	paces := []float64{1.25, 1, 0.8}
@@ -235,13 +237,7 @@
 func (f *fleet) carryOut(p stepper, e Effect) {
 	switch e := e.(type) {
 	case Start:
-		sent := f.now
-		f.starts++
-		f.call(e.Order.ID, f.link.timeout(e.Order.Timeout), true,
-			func(w *simWorker) (worker.Report, error) { return f.startOn(w, e.Order) },
-			func(r worker.Report, err error) {
-				f.step(p, StartAnswer{Order: e.Order, Sent: sent, Report: r, Err: err})
-			})
+		f.startBy(p, e)
 	case Stop:
 		f.call(e.Order.ID, simTimeout, false,
 			func(w *simWorker) (worker.Report, error) { return f.stopOn(w, e.Order) },
@@ -354,6 +350,12 @@
 func (f *fleet) submit(c simClass) Key {
 	simSequence++
 	key := Key{Sequence: simSequence}
+	if f.senders > 0 {
+		key.Link = 1 + simSequence%f.senders
+		if f.gone[key.Link] {
+			key.Link += 100 // its next connection
+		}
+	}
 	w := job.Work{ID: fmt.Sprintf("%016x", simSequence), Spec: "s", BestEffort: true}
 	length := time.Duration(float64(c.length) * spread(f.rand, 0.4))
 	w.Steps = []job.Step{{
@@ -373,7 +375,7 @@
 		objective: f.now.Add(time.Duration(1.6*float64(length)) + 60*time.Millisecond),
 	}
 	f.known[w.ID] = f.jobs[key]
-	f.step(f.pool, Submit{Key: key, Work: w, Policy: p, Budget: 5 * time.Second, Resumed: resumed, Progress: progress})
+	f.step(f.pool, f.sent(Submit{Key: key, Work: w, Policy: p, Budget: 5 * time.Second, Resumed: resumed, Progress: progress}))
 }
 
 // spread returns a factor around 1.
--- a/placement/message.go
+++ b/placement/message.go
@@ -39,6 +39,7 @@
 	Progress Progress      // of a resumed job, as far as it is known
 	Wait     time.Duration // until the time of a scheduled job; no task starts before
 	Kept     bool          // the job is stored: it has no deadline, no verdict, and Key is not used
+	Sends    bool          // the VM of the submission sends the starts itself, and the work has no spec
 }
 
 // Progress is what is known of a job that another holder has run.
@@ -62,10 +63,12 @@
 
 // StartAnswer is the result of a Start.
 type StartAnswer struct {
-	Order  worker.StartOrder
-	Sent   time.Time
-	Report worker.Report
-	Err    error
+	Order     worker.StartOrder
+	Sent      time.Time
+	Report    worker.Report
+	Err       error
+	Spec      string // of the job, if the VM of a submission was to send the start and it is open whether it has arrived ...
+	SpecKnown bool   // ... and has told the spec, so that the holder can go on by itself
 }
 
 // StopAnswer is the result of a Stop.
@@ -83,6 +86,9 @@
 	Err    error
 }
 
+// SenderLost says that a connection is lost, so that its VM sends no starts any more.
+type SenderLost struct{ Link uint64 }
+
 // WithdrawLink ends the submissions of a connection that is lost.
 type WithdrawLink struct{ Link uint64 }
 
@@ -114,6 +120,7 @@
 func (StopAnswer) message()   {}
 func (HoldAnswer) message()   {}
 func (WithdrawLink) message() {}
+func (SenderLost) message()   {}
 func (Raise) message()        {}
 func (Saved) message()        {}
 func (Cancel) message()       {}
@@ -125,7 +132,10 @@
 type Effect interface{ effect() }
 
 // Start sends a start order and returns a StartAnswer.
-type Start struct{ Order worker.StartOrder }
+type Start struct {
+	Order worker.StartOrder
+	By    Key // submission whose VM sends the order, which has no spec; zero for the holder itself
+}
 
 // Stop sends a stop order and returns a StopAnswer.
 type Stop struct{ Order worker.StopOrder }
--- a/placement/naive_test.go
+++ b/placement/naive_test.go
@@ -168,7 +168,7 @@
 		n.free = n.free.Minus(t.need)
 		n.runs[t.name] = t.need
 		p.running[t.name] = n.ID
-		p.out = append(p.out, Start{worker.StartOrder{
+		p.out = append(p.out, Start{Order: worker.StartOrder{
 			Target: worker.Target{ID: n.ID, Address: n.Address}, Run: worker.Run{Task: t.name, Number: p.number[t.name]},
 			Lease: n.clock + now.Sub(n.at) + time.Second, Fence: p.fence,
 		}})
--- a/placement/order.go
+++ b/placement/order.go
@@ -47,7 +47,7 @@
 	}
 	for pass := range 3 {
 		for _, b := range p.queue {
-			if b.closed || b.waiting == 0 || b.lateness != pass || p.now.Before(b.due) {
+			if b.closed || b.waiting == 0 || b.lateness != pass || p.now.Before(b.due) || !b.startable() {
 				continue
 			}
 			p.placeBatch(b, reserved)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -90,6 +90,8 @@
 		p.stopAnswered(m)
 	case HoldAnswer:
 		p.holdAnswered(m)
+	case SenderLost:
+		p.senderLost(m.Link)
 	case WithdrawLink:
 		p.withdrawLink(m.Link)
 	case Raise:
@@ -180,9 +182,7 @@
 	for k := range p.jobs {
 		keys = append(keys, k)
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		return keys[i].Link < keys[j].Link || keys[i].Link == keys[j].Link && keys[i].Sequence < keys[j].Sequence
-	})
+	sort.Slice(keys, func(i, j int) bool { return keys[i].less(keys[j]) })
 	for _, k := range keys {
 		b := p.jobs[k]
 		if !b.started {
--- a/placement/random_test.go
+++ b/placement/random_test.go
@@ -72,11 +72,13 @@
 	}
 }
 
-func (h *history) resubmit(j *simJob, progress Progress) {
+func (h *history) resubmit(j *simJob, progress Progress) { h.resubmitBy(0, j, progress, true) }
+
+func (h *history) resubmitBy(link uint64, j *simJob, progress Progress, resumed bool) {
 	simSequence++
-	key := Key{Sequence: simSequence}
+	key := Key{Link: link, Sequence: simSequence}
 	h.jobs[key] = &simJob{work: j.work, policy: j.policy, sent: h.now, length: j.length, objective: j.objective}
-	h.step(h.pool, Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 5 * time.Second, Resumed: true, Progress: progress})
+	h.step(h.pool, h.sent(Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 5 * time.Second, Resumed: resumed, Progress: progress}))
 }
 
 // leave withdraws a job and sends it again as a client does whose entry VM died.
--- a/placement/run.go
+++ b/placement/run.go
@@ -22,6 +22,7 @@
 	expected  time.Duration
 	progress  int
 	judgeAt   time.Time // when its progress is compared with the expected time
+	by        Key       // submission whose VM sends the start, zero for the holder itself
 	stopping  bool
 	stopAt    time.Time // of the last order to stop
 	moving    bool      // stopped since its worker is slow
@@ -50,7 +51,8 @@
 func (p *Pool) sendStart(r *run) {
 	r.tries++
 	r.lease = p.extend(r.node)
-	p.emit(Start{worker.StartOrder{
+	r.by = r.batch.sender
+	p.emit(Start{By: r.by, Order: worker.StartOrder{
 		Target:     target(r.node),
 		Run:        worker.Run{Task: r.name, Number: r.number},
 		Spec:       r.batch.work.Spec,
@@ -88,6 +90,9 @@
 		return
 	}
 	reason, rejected := worker.Rejection(m.Err)
+	if !rejected || reason == worker.ReasonUnsent {
+		r.batch.takeSpec(m, r.by)
+	}
 	if rejected {
 		p.startRejected(n, r, reason, m)
 		return
@@ -101,7 +106,7 @@
 	if m.Err != nil {
 		reason, rejected := worker.Rejection(m.Err)
 		switch {
-		case reason == worker.ReasonNoConn:
+		case reason == worker.ReasonNoConn, reason == worker.ReasonUnsent:
 			return
 		case !rejected && took < m.Order.Timeout:
 			return // the connection broke
@@ -165,7 +170,7 @@
 	if r.stopping {
 		return
 	}
-	if r.tries < maxStartTries {
+	if r.tries < maxStartTries && r.batch.startable() {
 		p.sendStart(r)
 		return
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -159,6 +159,7 @@
 	ReasonMalformed Reason = "malformed"  // the worker could not read the order
 	ReasonUnknown   Reason = "unknown"    // the worker gave a reason that is not known here
 	ReasonNoConn    Reason = "no-connect" // no connection could be opened, so that nothing was sent
+	ReasonUnsent    Reason = "unsent"     // the VM that was to send the order has given the job up and sent nothing
 )
 
 // RejectedError means that the worker did not carry out the order.
