Judge runs on the worker's clock and beside the other tasks of their job

Cause: a run's progress was compared with the time since its order, with the way of the order and of the list included.

Ruled out: a larger factor or slack, which finds slow workers later at every size.

Change: the time of a run counts on its worker's clock, from the answer to its start (or the first list) on; a run is slow when it is far behind the median of its job's other tasks on other workers as well, which are given one round to be listed.

--- a/placement/batch.go
+++ b/placement/batch.go
@@ -38,8 +38,9 @@
 }
 
 type step struct {
-	tasks []task
-	left  int
+	tasks   []task
+	left    int
+	lengths []time.Duration // run times of tasks that are done
 }
 
 type taskState uint8
--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -301,6 +301,7 @@
 // simLink is the holder's link to its workers: orders leave it one after the other. A rate of 0 takes no time.
 type simLink struct {
 	rate  float64 // bytes a second
+	known bool    // time-outs begin when the order has left the link, as those of the client of workers
 	empty time.Time
 }
 
@@ -319,10 +320,13 @@
 }
 
 // timeout returns the time-out of an order: that of the pool on a link that takes time.
-func (l *simLink) timeout(order time.Duration) time.Duration {
+func (l *simLink) timeout(now time.Time, order time.Duration) time.Duration {
 	if l.rate == 0 {
 		return simTimeout
 	}
+	if l.known {
+		order += max(l.empty.Sub(now), 0)
+	}
 	return order
 }
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // health is the pool's belief about whether a worker runs tasks well.
 type health struct {
@@ -24,6 +27,8 @@
 	// hangFactor and hangSlack bound the time of a run of a stored job, as a multiple of its longest expected time.
 	hangFactor = 4
 	hangSlack  = time.Second
+	// tellingProgress is the progress in percent from which on the length of a run can be told.
+	tellingProgress = 5
 	// maxMoves bounds how often one task is moved away from slow workers.
 	maxMoves = 2
 )
@@ -86,22 +91,34 @@
 }
 
 // observe judges a running task by its progress and moves it if it would end sooner elsewhere.
-func (p *Pool) observe(r *run, progress int) {
+// Its time counts on the worker's clock, since orders and lists may be slow on their way.
+func (p *Pool) observe(r *run, progress int, clock time.Duration) {
 	r.batch.begun = true
 	if r.confirmed.IsZero() {
 		r.confirmed = p.now
 	}
+	if r.beganAt == 0 {
+		r.beganAt, r.beganWith = clock, progress // the start had no answer; it is judged from here on
+	}
 	r.progress = max(r.progress, progress)
+	if made := r.progress - r.beganWith; made >= tellingProgress {
+		r.projected = (clock - r.beganAt) * time.Duration(100-r.beganWith) / time.Duration(made)
+	}
 	if r.stopping || r.lasting() || p.now.Before(r.judgeAt) {
 		return
 	}
-	elapsed := p.now.Sub(r.sent)
-	sound := p.longest(r.batch, r.step)
-	total := elapsed * time.Duration(100) / time.Duration(max(r.progress, 1))
+	others, open := p.lengthOfOthers(r)
+	if others == 0 && open && !r.deferred {
+		r.deferred, r.judgeAt = true, p.now.Add(p.rules.OverdueWait) // the others are being listed
+		return
+	}
+	elapsed := clock - r.beganAt
+	sound := max(p.longest(r.batch, r.step), others)
+	total := elapsed * time.Duration(100-r.beganWith) / time.Duration(max(r.progress-r.beganWith, 1))
 	r.judgeAt = p.now.Add(max(sound/4, p.rules.OverdueWait))
 	slow := float64(total) > p.rules.SlowFactor*float64(sound) && total-elapsed >= sound+sound/4+p.rules.StallSlack
 	// A job with a deadline ends by it; a stored one would wait for ever for a run that claims progress and does not end.
-	hangs := r.batch.kept && elapsed > hangFactor*sound+hangSlack
+	hangs := r.batch.kept && elapsed > hangFactor*p.longest(r.batch, r.step)+hangSlack
 	if !hangs && (!slow || r.batch.gang(r.step)) {
 		return
 	}
@@ -121,6 +138,28 @@
 	p.stopRun(r)
 }
 
+// lengthOfOthers returns the median run time of the other tasks of the step, by their ends and by their progress on other
+// workers, 0 if nothing is known, and whether some still run there. Where all tasks of a job take longer than declared, the job is long and no worker is slow.
+func (p *Pool) lengthOfOthers(r *run) (length time.Duration, open bool) {
+	s := &r.batch.steps[r.step]
+	lengths := append([]time.Duration(nil), s.lengths...)
+	for j := range s.tasks {
+		o := p.tasks[r.batch.name(r.step, j)]
+		if j == r.index || o == nil || o.batch != r.batch || o.node == r.node {
+			continue
+		}
+		if o.projected > 0 {
+			lengths = append(lengths, o.projected)
+		}
+		open = true
+	}
+	if len(lengths) == 0 {
+		return 0, open
+	}
+	slices.Sort(lengths)
+	return lengths[len(lengths)/2], open
+}
+
 // longest returns the run time that a task of the step may well need on a sound worker, since declared times are rough.
 func (p *Pool) longest(b *batch, step int) time.Duration {
 	known, ok := p.durations[b.policy.Route]
--- a/placement/node.go
+++ b/placement/node.go
@@ -345,7 +345,7 @@
 			if r.stopping && m.Sent.Sub(r.stopAt) > p.rules.ProbeInterval {
 				p.sendStop(r) // the order to stop was lost
 			}
-			p.observe(r, row.Progress)
+			p.observe(r, row.Progress, m.Report.Clock)
 		case r.confirmed.IsZero() && m.Report.Clock <= r.lease:
 			// The start has no answer yet and may still be carried out.
 		case !r.confirmed.IsZero() && !r.confirmed.Before(m.Sent):
--- a/placement/run.go
+++ b/placement/run.go
@@ -20,9 +20,13 @@
 	lease     time.Duration // of its start, on the worker's clock: it is not carried out later
 	tries     int
 	expected  time.Duration
+	beganAt   time.Duration // on the worker's clock, when the start was answered or the run was first listed, zero before ...
+	beganWith int           // ... with this progress
 	progress  int
-	judgeAt   time.Time // when its progress is compared with the expected time
-	by        Key       // submission whose VM sends the start, zero for the holder itself
+	projected time.Duration // length by its progress, 0 while it cannot be told
+	judgeAt   time.Time     // when its progress is compared with the expected time
+	deferred  bool          // its judgement has waited for the other tasks of the step
+	by        Key           // submission whose VM sends the start, zero for the holder itself
 	stopping  bool
 	stopAt    time.Time // of the last order to stop
 	moving    bool      // stopped since its worker is slow
@@ -87,6 +91,9 @@
 		if r.confirmed.IsZero() {
 			r.confirmed, r.batch.begun = p.now, true
 		}
+		if r.beganAt == 0 {
+			r.beganAt = m.Report.Clock
+		}
 		return
 	}
 	reason, rejected := worker.Rejection(m.Err)
@@ -253,6 +260,9 @@
 	}
 }
 
+// maxLengths bounds the run times that are kept of a step.
+const maxLengths = 15
+
 // runEnded takes in a listed end.
 func (p *Pool) runEnded(r *run, e worker.End) {
 	p.release(r)
@@ -269,6 +279,9 @@
 	switch outcome {
 	case worker.Done:
 		p.learn(r, took)
+		if s := &r.batch.steps[r.step]; len(s.lengths) < maxLengths {
+			s.lengths = append(s.lengths, took)
+		}
 		p.gangEnded(r, outcome)
 		p.taskDone(r.batch, r.step, r.index)
 		return
--- a/placement/sender_test.go
+++ b/placement/sender_test.go
@@ -44,7 +44,7 @@
 		if link != 0 && f.gone[link] {
 			return
 		}
-		f.call(e.Order.ID, f.link.timeout(e.Order.Timeout), true,
+		f.call(e.Order.ID, f.link.timeout(f.now, e.Order.Timeout), true,
 			func(w *simWorker) (worker.Report, error) { return f.startOn(w, e.Order) },
 			func(r worker.Report, err error) {
 				if link == 0 {
