Count the way of a job's spec in the choice of a group, and shorten the names of messages

Conclusion: transfer time is a property of the job and the link, so it may count; a measured delay must not without damping.

--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -338,6 +338,9 @@
 		return o
 	}
 	o.wait = waitOf(load, r.Policy.Priority)
+	if zone != g.settings.Zone && g.settings.LinkRate > 0 {
+		o.wait += time.Duration(float64(len(r.Work.Spec)) / g.settings.LinkRate * float64(time.Second)) // handed over with the job
+	}
 	if load.Workers == 0 {
 		o.wait += noWorkerCost
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -152,8 +152,9 @@
 
 func init() {
 	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Orders{}, Ordered{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
-		gob.Register(m)
-		purposes[reflect.TypeOf(m)] = "peer-" + strings.ToLower(reflect.TypeOf(m).Name())
+		name := strings.ToLower(reflect.TypeOf(m).Name())
+		gob.RegisterName(name, m) // the name goes with each message
+		purposes[reflect.TypeOf(m)] = "peer-" + name
 	}
 }
 
