Take another VM's copy of the store's keys by part

A VM with newer holders and an older list of workers thus brought a worker back that had left, and since the watch goes on from the newer revision, nothing removed it again. A watch under way while a copy is taken, and a list from before an own write, did the same in their ways.

Change: the three watched parts each have the revision up to which they are known; a copy names it for each part and is taken for the parts in which it is newer. Events up to the known revision are dropped; a list removes no key that is newer than itself.

--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -32,7 +32,7 @@
 // filled the links and silenced the heartbeats (kuusepuu-blanks-grown trouble-1).
 func TestCatchUpAsksSeldom(t *testing.T) {
 	is := is.New(t)
-	g := New(Config{Log: zerolog.Nop()})
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}})
 	now := time.Now()
 	asked := 0
 	for beat := range 40 { // 6 s of heartbeats of 20 VMs with a newer configuration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 		}
 		return nil
 	})
-	for _, part := range g.view.prefixes() {
+	for _, part := range g.view.parts {
 		g.background(work, func(ctx context.Context) { g.view.follow(ctx, g.config.Store, part) })
 	}
 	g.background(work, g.register)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -59,6 +59,8 @@
 	codec Codec
 	log   zerolog.Logger
 
+	parts []*prefix // the watched parts of the store's keys
+
 	mu            sync.Mutex
 	items         map[string]store.Item
 	revision      int64     // newest of the store that was seen
@@ -80,7 +82,7 @@
 
 func newView(codec Codec, log zerolog.Logger) *view {
 	return &view{
-		codec: codec, log: log,
+		codec: codec, log: log, parts: prefixes(codec),
 		items: map[string]store.Item{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlisted{}, vms: map[string]registration{},
 		holders: map[string]holderRecord{}, shapes: map[string]shape{}, changed: make(chan struct{}),
 	}
@@ -95,11 +97,11 @@
 
 // prefixes returns the parts of the store that a VM watches. Workers write a heartbeat every 1.5 s each; taking in
 // their changes twice a second is enough, since a draining worker gives notice of 2 s.
-func (v *view) prefixes() []*prefix {
+func prefixes(codec Codec) []*prefix {
 	return []*prefix{
 		{name: ownPrefix},
-		{name: v.codec.ConfigurationKey()},
-		{name: v.codec.WorkerPrefix(), rest: workerRest},
+		{name: codec.ConfigurationKey()},
+		{name: codec.WorkerPrefix(), rest: workerRest},
 	}
 }
 
@@ -154,29 +156,34 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.answered()
-	if snapshot.Revision < part.revision {
-		return nil // an older copy
+	v.replace(part, snapshot.Revision, snapshot.Items)
+	v.signal()
+	return nil
+}
+
+// replace takes in all keys of a part as of a revision, unless a newer state of the part is known.
+func (v *view) replace(part *prefix, revision int64, items []store.Item) {
+	if revision < part.revision {
+		return
 	}
 	present := map[string]bool{}
-	for _, item := range snapshot.Items {
+	for _, item := range items {
 		present[item.Key] = true
 		v.put(item)
 	}
-	for key := range v.items {
-		if strings.HasPrefix(key, part.name) && !present[key] {
+	for key, item := range v.items {
+		if strings.HasPrefix(key, part.name) && !present[key] && item.Revision <= revision {
 			v.remove(key)
 		}
 	}
-	part.revision = snapshot.Revision
+	part.revision = revision
 	switch {
 	case part.name == ownPrefix:
 		v.ownRead = true
 	case part.name == v.codec.WorkerPrefix() && v.workersRead.IsZero():
 		v.workersRead = time.Now()
 	}
-	v.revision = max(v.revision, snapshot.Revision)
-	v.signal()
-	return nil
+	v.revision = max(v.revision, revision)
 }
 
 func (v *view) watch(ctx context.Context, keys store.Keyspace, part *prefix) error {
@@ -188,6 +195,9 @@
 	defer v.mu.Unlock()
 	v.answered()
 	for _, e := range changes.Events {
+		if e.Revision <= part.revision {
+			continue // older than a copy that was taken while the watch was under way
+		}
 		if known, ok := v.items[e.Key]; ok && known.Revision >= e.Revision {
 			continue
 		}
@@ -305,7 +315,10 @@
 	if !all {
 		return c
 	}
-	c.KeysRevision, c.Keys, c.Revisions = v.revision, map[string][]byte{}, map[string]int64{}
+	c.Parts, c.Keys, c.Revisions = map[string]int64{}, map[string][]byte{}, map[string]int64{}
+	for _, part := range v.parts {
+		c.Parts[part.name] = part.revision
+	}
 	for key, item := range v.items {
 		if key != v.codec.ConfigurationKey() {
 			c.Keys[key], c.Revisions[key] = item.Value, item.Revision
@@ -314,24 +327,24 @@
 	return c
 }
 
-// take takes in the copy of another VM, where it is newer.
+// take takes in the copy of another VM in those parts in which it is newer: its newest key says nothing about the others.
 func (v *view) take(c peer.Copy) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(c.Configuration) > 0 {
 		v.putConfiguration(c.Configuration, c.Revision)
 	}
-	if c.KeysRevision > v.revision {
-		v.ownRead = true
-		for key, value := range c.Keys {
-			v.put(store.Item{Key: key, Value: value, Revision: c.Revisions[key]})
+	for _, part := range v.parts {
+		if c.Parts[part.name] <= part.revision || part.name == v.codec.ConfigurationKey() {
+			continue
 		}
-		for key := range v.items {
-			if _, ok := c.Keys[key]; !ok && key != v.codec.ConfigurationKey() {
-				v.remove(key)
+		var items []store.Item
+		for key, value := range c.Keys {
+			if strings.HasPrefix(key, part.name) {
+				items = append(items, store.Item{Key: key, Value: value, Revision: c.Revisions[key]})
 			}
 		}
-		v.revision = c.KeysRevision
+		v.replace(part, c.Parts[part.name], items)
 	}
 	v.signal()
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -126,8 +126,8 @@
 	Configuration []byte
 	Revision      int64 // of the configuration
 	Keys          map[string][]byte
-	KeysRevision  int64 // of the store, up to which the keys are known
-	Revisions     map[string]int64
+	Parts         map[string]int64 // revision of the store up to which the keys with a prefix are known, by prefix
+	Revisions     map[string]int64 // of the keys
 }
 
 func (Hello) message()     {}
