Read the list of workers by few VMs of a zone

Cause: every VM took in every heartbeat of every worker: 57 entries a second in the small twin (27 KB/s, in bursts of 11 KB that fill a link of 2 Mbit/s for 44 ms), 360 a second at the whole size, in each of 97 VMs.

Weighed: a watch for each worker (as many calls as all VMs make now), polling the list (the same bytes), longer pauses between watches (a draining worker gives notice of 2 s). Chosen: one VM of a zone, two where it has 8 or more, reads the list and tells the others of the changes that matter; they go on by themselves, from the revision they know, when its heartbeats end or say that the store does not answer it.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -133,6 +133,22 @@
 	return append(append([]VM(nil), list[first:]...), list[:first]...)
 }
 
+// Readers returns the VMs of a zone that read the list of workers from the store: the first candidates that can be reached, two
+// where the zone has a number of VMs or more.
+func Readers(zone string, vms []VM, large int) []string {
+	count := 1
+	if len(vms) >= large {
+		count = 2
+	}
+	var names []string
+	for _, v := range Candidates(0, zone, vms) {
+		if v.Silent == 0 && !v.Stopping && len(names) < count {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
 // maxRank bounds the delay of a candidate whose connections to those before it are not known to be alive.
 const maxRank = 10
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	mu          sync.Mutex
 	links       map[string]*link
 	inbound     map[*peer.Conn]uint64
+	followers   map[*peer.Conn]int64 // revision up to which they were told of changes of the list of workers
 	drivers     map[string]*driver
 	pending     map[uint64]*pendingAsk
 	unsent      time.Time             // when a start that this VM has sent for a holder had no answer
@@ -72,7 +73,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{}, lasting: map[string][]string{},
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
-		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, drivers: map[string]*driver{},
+		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*driver{},
 		pending: map[uint64]*pendingAsk{}, active: map[string]*activeJob{}, asked: map[string]offer{},
 		claimed: map[string]time.Time{}, outranked: map[string]outranked{}, loads: map[string]map[string]placement.Load{}, seen: map[string]time.Time{},
 		kick: make(chan struct{}, 1),
@@ -102,9 +103,10 @@
 		}
 		return nil
 	})
-	for _, part := range g.view.parts {
+	for _, part := range g.view.parts[:workerPart] {
 		g.background(work, func(ctx context.Context) { g.view.follow(ctx, g.config.Store, part) })
 	}
+	g.background(work, g.followWorkers)
 	g.background(work, g.register)
 	g.background(work, g.connect)
 	g.background(work, g.beat)
@@ -221,7 +223,8 @@
 			return
 		case <-ticker.C:
 		}
-		beat := peer.Heartbeat{Stopping: g.stopping.Load()}
+		beat := peer.Heartbeat{Stopping: g.stopping.Load(), Listed: g.listedUpTo(time.Now())}
+		g.relay()
 		_, beat.Configuration = g.view.current()
 		for _, d := range g.allDrivers() {
 			if d.lostFence() {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -30,6 +30,9 @@
 	downSince time.Time
 	holds     map[string]int64 // fence by group
 	stopping  bool
+	following bool      // the VM was asked for the changes of the list of workers ...
+	followed  bool      // ... and tells them
+	listedAt  time.Time // last heartbeat by which the VM reads the list itself
 	stop      context.CancelFunc
 }
 
@@ -151,6 +154,7 @@
 	}
 	h.g.mu.Lock()
 	h.l.conn, h.l.downSince, h.l.lost = c, time.Time{}, make(chan struct{})
+	h.l.following, h.l.followed = false, false
 	h.g.mu.Unlock()
 	h.g.log.Info().Str("event", "link-up").Str("peer", h.l.vm).Int64("incarnation", c.Remote().Incarnation).Send()
 	h.g.nudge()
@@ -163,6 +167,8 @@
 		h.g.heard(c, h.l, m)
 	case peer.Verdict:
 		h.g.verdict(m)
+	case peer.WorkerChanges:
+		h.g.heardChanges(h.l, m)
 	case peer.Orders:
 		h.g.sendStarts(c, m)
 	case peer.Copy:
@@ -178,6 +184,7 @@
 	h.g.mu.Lock()
 	if h.l.conn == c {
 		h.l.conn, h.l.downSince = nil, time.Now()
+		h.l.following, h.l.followed = false, false
 		clear(h.l.holds)
 		close(h.l.lost)
 	}
@@ -205,6 +212,7 @@
 		if changed {
 			g.view.poke()
 		}
+		g.heardListed(c, l, m.Listed)
 	}
 	if g.catchUp(m.Configuration, time.Now()) {
 		c.Send(peer.Want{All: g.view.stale()})
@@ -250,6 +258,8 @@
 	switch m := m.(type) {
 	case peer.Submit:
 		h.submit(c, m)
+	case peer.Follow:
+		h.g.beginFollow(c, m.Revision)
 	case peer.Ordered:
 		if d := h.g.driverOf(m.Group); d != nil {
 			d.handedAnswered(h.g.ctx, h.id(c), m)
@@ -327,6 +337,7 @@
 	h.g.mu.Lock()
 	id := h.g.inbound[c]
 	delete(h.g.inbound, c)
+	delete(h.g.followers, c)
 	h.g.mu.Unlock()
 	h.g.log.Warn().Str("event", "peer-lost").Str("peer", c.Remote().VM).Err(err).Send()
 	for _, d := range h.g.allDrivers() {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -70,6 +70,7 @@
 	configRaw     []byte
 	workers       map[string]worker.Worker
 	unlisted      map[string]unlisted // workers whose entries have disappeared
+	roster        roster
 	vms           map[string]registration
 	holders       map[string]holderRecord
 	shapes        map[string]shape // by zone
@@ -92,35 +93,54 @@
 type prefix struct {
 	name     string
 	rest     time.Duration // between two watches, to take in several changes at once
+	wait     time.Duration // longest wait of a watch
 	revision int64         // up to which the keys of the prefix are known
+	contact  time.Time     // last answer of the store about the prefix
 }
 
 // prefixes returns the parts of the store that a VM watches. Workers write a heartbeat every 1.5 s each; taking in
 // their changes twice a second is enough, since a draining worker gives notice of 2 s.
 func prefixes(codec Codec) []*prefix {
 	return []*prefix{
-		{name: ownPrefix},
-		{name: codec.ConfigurationKey()},
-		{name: codec.WorkerPrefix(), rest: workerRest},
+		{name: ownPrefix, wait: watchWait},
+		{name: codec.ConfigurationKey(), wait: watchWait},
+		workerPart: {name: codec.WorkerPrefix(), rest: workerRest, wait: workerWait},
 	}
 }
 
 // follow keeps a part of the view up to date until ctx ends.
 func (v *view) follow(ctx context.Context, keys store.Keyspace, part *prefix) {
 	for ctx.Err() == nil {
-		err := v.read(ctx, keys, part)
-		for err == nil {
-			pause(ctx, part.rest)
-			err = v.watch(ctx, keys, part)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if !errors.Is(err, store.ErrHistoryGone) {
-			v.lose(err)
-			pause(ctx, retryDelay)
-		}
+		v.followOnce(ctx, keys, part, func() bool { return false })
+	}
+}
+
+// followOnce reads a part and watches it until that fails or is no longer needed. Where the part is known up to a revision,
+// the first watch goes on from there.
+func (v *view) followOnce(ctx context.Context, keys store.Keyspace, part *prefix, needless func() bool) {
+	var err error
+	if v.knownUpTo(part) == 0 {
+		err = v.read(ctx, keys, part)
+	} else {
+		err = v.watch(ctx, keys, part)
 	}
+	for err == nil && ctx.Err() == nil && !needless() {
+		pause(ctx, part.rest)
+		err = v.watch(ctx, keys, part)
+	}
+	if errors.Is(err, store.ErrHistoryGone) {
+		err = v.read(ctx, keys, part)
+	}
+	if err != nil && ctx.Err() == nil {
+		v.lose(err)
+		pause(ctx, retryDelay)
+	}
+}
+
+func (v *view) knownUpTo(part *prefix) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return part.revision
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -156,6 +176,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.answered()
+	part.contact = v.contact
 	v.replace(part, snapshot.Revision, snapshot.Items)
 	v.signal()
 	return nil
@@ -173,9 +194,12 @@
 	}
 	for key, item := range v.items {
 		if strings.HasPrefix(key, part.name) && !present[key] && item.Revision <= revision {
-			v.remove(key)
+			v.removeAt(key, revision)
 		}
 	}
+	if part == v.workerPart() {
+		v.roster = roster{floor: revision} // the order of these changes is not known
+	}
 	part.revision = revision
 	switch {
 	case part.name == ownPrefix:
@@ -187,25 +211,16 @@
 }
 
 func (v *view) watch(ctx context.Context, keys store.Keyspace, part *prefix) error {
-	changes, err := keys.Watch(ctx, part.name, part.revision, watchWait)
+	changes, err := keys.Watch(ctx, part.name, v.knownUpTo(part), part.wait)
 	if err != nil {
 		return err
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.answered()
+	part.contact = v.contact
 	for _, e := range changes.Events {
-		if e.Revision <= part.revision {
-			continue // older than a copy that was taken while the watch was under way
-		}
-		if known, ok := v.items[e.Key]; ok && known.Revision >= e.Revision {
-			continue
-		}
-		if e.Removed {
-			v.remove(e.Key)
-			continue
-		}
-		v.put(e.Item)
+		v.change(part, e)
 	}
 	part.revision = max(part.revision, changes.Revision)
 	v.revision = max(v.revision, changes.Revision)
@@ -215,6 +230,19 @@
 	return nil
 }
 
+// change takes in a change of a key, unless the part is known up to a later revision, as after a copy that was taken while a
+// watch was under way.
+func (v *view) change(part *prefix, e store.Event) {
+	if known, ok := v.items[e.Key]; e.Revision <= part.revision || ok && known.Revision >= e.Revision {
+		return
+	}
+	if e.Removed {
+		v.removeAt(e.Key, e.Revision)
+		return
+	}
+	v.put(e.Item)
+}
+
 func (v *view) signal() {
 	close(v.changed)
 	v.changed = make(chan struct{})
@@ -232,12 +260,17 @@
 		w, err := v.codec.Worker(key, item.Value)
 		if err != nil {
 			v.log.Warn().Str("event", "worker-malformed").Str("key", key).Err(err).Msg("entry names no worker to use")
+			v.roster.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision})
 			v.unlist(key)
 			return
 		}
-		if _, known := v.workers[key]; !known {
+		before, known := v.workers[key]
+		if !known {
 			v.lastWorker = time.Now()
 		}
+		if !known || !sameWorker(before, w) {
+			v.roster.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision})
+		}
 		v.workers[key] = w
 		delete(v.unlisted, key)
 	case strings.HasPrefix(key, vmPrefix):
@@ -280,10 +313,12 @@
 	v.log.Info().Str("event", "configuration").Int64("version", c.Version).Int64("revision", revision).Int("routes", len(c.Routes)).Msg("configuration in force")
 }
 
-func (v *view) remove(key string) {
+// removeAt takes in that a key was removed at a revision.
+func (v *view) removeAt(key string, revision int64) {
 	delete(v.items, key)
 	switch {
 	case strings.HasPrefix(key, v.codec.WorkerPrefix()):
+		v.roster.add(peer.WorkerChange{Key: key, Revision: revision, Removed: true})
 		v.unlist(key)
 	case strings.HasPrefix(key, vmPrefix):
 		delete(v.vms, strings.TrimPrefix(key, vmPrefix))
--- a/peer/message.go
+++ b/peer/message.go
@@ -35,6 +35,7 @@
 type Heartbeat struct {
 	Holds         []Holding
 	Configuration int64 // revision of the configuration that the VM runs
+	Listed        int64 // revision up to which the VM has read the list of workers from the store itself, 0 if it does not do so
 	Stopping      bool
 }
 
@@ -118,6 +119,25 @@
 // TakeOver asks a VM to become the holder of a group, since the present one stops.
 type TakeOver struct{ Group string }
 
+// Follow asks a VM that reads the list of workers for all its changes after a revision, now and from now on.
+type Follow struct{ Revision int64 }
+
+// WorkerChange is a change of one entry of the list of workers.
+type WorkerChange struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+}
+
+// WorkerChanges are the changes of the list of workers between two revisions, without those that tell nothing but life.
+type WorkerChanges struct {
+	From    int64
+	To      int64
+	Whole   bool // the entries are the whole list as of To
+	Changes []WorkerChange
+}
+
 // Want asks for the configuration, and for all other keys if the store is out of reach.
 type Want struct{ All bool }
 
@@ -130,19 +150,21 @@
 	Revisions     map[string]int64 // of the keys
 }
 
-func (Hello) message()     {}
-func (Heartbeat) message() {}
-func (Submit) message()    {}
-func (Orders) message()    {}
-func (Ordered) message()   {}
-func (Withdraw) message()  {}
-func (Verdict) message()   {}
-func (Stored) message()    {}
-func (Over) message()      {}
-func (Ask) message()       {}
-func (TakeOver) message()  {}
-func (Want) message()      {}
-func (Copy) message()      {}
+func (Hello) message()         {}
+func (Heartbeat) message()     {}
+func (Submit) message()        {}
+func (Orders) message()        {}
+func (Ordered) message()       {}
+func (Withdraw) message()      {}
+func (Verdict) message()       {}
+func (Stored) message()        {}
+func (Over) message()          {}
+func (Ask) message()           {}
+func (TakeOver) message()      {}
+func (Want) message()          {}
+func (Follow) message()        {}
+func (WorkerChanges) message() {}
+func (Copy) message()          {}
 
 // envelope carries a message, since a codec needs a concrete type.
 type envelope struct{ Message Message }
@@ -151,7 +173,7 @@
 var purposes = map[reflect.Type]string{}
 
 func init() {
-	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Orders{}, Ordered{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Want{}, Copy{}} {
+	for _, m := range []Message{Hello{}, Heartbeat{}, Submit{}, Orders{}, Ordered{}, Withdraw{}, Verdict{}, Stored{}, Over{}, Ask{}, TakeOver{}, Follow{}, WorkerChanges{}, Want{}, Copy{}} {
 		name := strings.ToLower(reflect.TypeOf(m).Name())
 		gob.RegisterName(name, m) // the name goes with each message
 		purposes[reflect.TypeOf(m)] = "peer-" + name
