Keep an unexpected error to its request, message or group

Change: requests, messages of other VMs, the watches of the store and the decisions of a group are guarded where no lock is held or is released on the way out. A request whose handler fails is answered 504, since a task may have started; a message ends its connection; a group whose pool fails is given up, its jobs move, and the VM claims it again under a higher fence; a watch begins again. Each is logged with its stack and counted (samphireplank_panics_total).

Tests: TestMalformedSubmissionEndsOneGroupOnly (the process died before), TestGuards.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -25,12 +25,14 @@
 	log     zerolog.Logger
 	answer  func(key placement.Key, verdict placement.Verdict, loads map[string]placement.Load)
 	hand    func(to placement.Key, orders peer.Orders) bool // to the VM of a submission; false if it is out of reach
+	guard   func(where string, f func()) bool
 	meter   *meter
 	keeper  *keeper
 
 	mu           sync.Mutex
 	pool         *placement.Pool
 	fenced       bool
+	broken       bool // the pool has panicked
 	withoutStore bool // the store has not confirmed the holder
 	summary      map[string]placement.Load
 	summaryAt    time.Time
@@ -39,12 +41,11 @@
 }
 
 func (d *driver) apply(ctx context.Context, m placement.Message) {
-	d.mu.Lock()
-	if s, ok := m.(placement.Submit); ok && len(s.Work.Steps) > 0 {
-		d.seen[s.Policy.Service] = s.Work.Steps[0].Need
+	effects, ok := d.step(time.Now(), m)
+	if !ok {
+		d.abandon(ctx, m)
+		return
 	}
-	effects := d.pool.Step(time.Now(), m)
-	d.mu.Unlock()
 	handed := map[placement.Key][]worker.StartOrder{}
 	for _, e := range effects {
 		if start, ok := e.(placement.Start); ok && start.By.Link != 0 {
@@ -161,7 +162,7 @@
 func (d *driver) lostFence() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fenced
+	return d.fenced || d.broken
 }
 
 // submission translates a message of a peer.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,15 +100,15 @@
 		g.log.Warn().Str("event", "settings").Int64("margin-ms", margin.Milliseconds()).Msg("clients send again before the tasks of a dead VM are certainly stopped")
 	}
 	g.tasks.Go(func() error {
-		if err := peer.Listen(work, links, g.peers(), inbound{g}); err != nil {
+		if err := peer.Listen(work, links, g.peers(), guardedPeer{inbound{g}, g}); err != nil {
 			g.log.Error().Str("event", "link-listener").Err(err).Msg("listener for other VMs ended")
 		}
 		return nil
 	})
 	for _, part := range g.view.parts[:workerPart] {
-		g.background(work, func(ctx context.Context) { g.view.follow(ctx, g.config.Store, part) })
+		g.keepRunning(work, "watch of "+part.name, func(ctx context.Context) { g.view.follow(ctx, g.config.Store, part) })
 	}
-	g.background(work, g.followWorkers)
+	g.keepRunning(work, "list of workers", g.followWorkers)
 	g.background(work, g.register)
 	g.background(work, g.connect)
 	g.background(work, g.beat)
--- /dev/null
+++ b/gateway/guard.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/peer"
+	"samphireplank.example/samphireplank/placement"
+)
+
+// An unexpected error in one request, message or group must not end the process: its other groups and requests go on. Code
+// is guarded where input enters and no lock is held, or is released on the way out.
+
+const (
+	// stackBytes bounds the stack in a log line.
+	stackBytes = 2048
+	// restartPause is the pause before a part of the VM that has failed begins again.
+	restartPause = 500 * time.Millisecond
+)
+
+// guard runs f and returns false if it has panicked.
+func (g *Gateway) guard(where string, f func()) (ok bool) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			ok = false
+			g.meter.panics.Inc()
+			stack := debug.Stack()
+			g.log.Error().Str("event", "panic").Str("where", where).Str("reason", fmt.Sprint(reason)).
+				Bytes("stack", stack[:min(len(stack), stackBytes)]).Msg("unexpected error; the rest of the VM goes on")
+		}
+	}()
+	f()
+	return true
+}
+
+// keepRunning runs f until ctx ends, and again if it panics.
+func (g *Gateway) keepRunning(ctx context.Context, where string, f func(context.Context)) {
+	g.background(ctx, func(ctx context.Context) {
+		for ctx.Err() == nil && !g.guard(where, func() { f(ctx) }) {
+			pause(ctx, restartPause)
+		}
+	})
+}
+
+// guarded answers a request without a verdict if its handler panics: its job may have been started.
+func (g *Gateway) guarded(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if !g.guard("request", func() { handler(ctx) }) {
+			ctx.Error(`{"reason":"unexpected error"}`, fasthttp.StatusGatewayTimeout)
+		}
+	}
+}
+
+// guardedPeer closes a connection whose message makes the handler panic.
+type guardedPeer struct {
+	peer.Handler
+	g *Gateway
+}
+
+// Received handles a message.
+func (h guardedPeer) Received(c *peer.Conn, m peer.Message) {
+	if !h.g.guard(fmt.Sprintf("message %T", m), func() { h.Handler.Received(c, m) }) {
+		c.Close(errPanic)
+	}
+}
+
+// errPanic closes a connection whose message could not be handled.
+var errPanic = fmt.Errorf("a message could not be handled")
+
+// step lets the pool decide; false means that it has panicked and must not be used again.
+func (d *driver) step(now time.Time, m placement.Message) (effects []placement.Effect, ok bool) {
+	ok = d.guard("group "+d.group, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if s, ok := m.(placement.Submit); ok && len(s.Work.Steps) > 0 {
+			d.seen[s.Policy.Service] = s.Work.Steps[0].Need
+		}
+		effects = d.pool.Step(now, m)
+	})
+	return effects, ok
+}
+
+// abandon gives up a pool that has panicked. The group counts as lost to a higher fence, so that the VM claims it again
+// under a higher one; the pool's jobs move there, but for that of the message, which is answered without a verdict.
+func (d *driver) abandon(ctx context.Context, m placement.Message) {
+	if s, ok := m.(placement.Submit); ok && !s.Kept {
+		d.answer(s.Key, placement.Expired{}, nil)
+	}
+	d.mu.Lock()
+	before := d.broken
+	d.broken = true
+	d.mu.Unlock()
+	if before {
+		return
+	}
+	if effects, ok := d.step(time.Now(), placement.HandOver{}); ok {
+		for _, e := range effects {
+			d.carryOut(ctx, e)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/guard_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/peer"
+	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/worker"
+)
+
+// noWorkers is a client of workers that do not answer.
+type noWorkers struct{}
+
+func (noWorkers) Start(context.Context, worker.StartOrder) (worker.Report, error) {
+	return worker.Report{}, context.DeadlineExceeded
+}
+
+func (noWorkers) Stop(context.Context, worker.StopOrder) (worker.Report, error) {
+	return worker.Report{}, context.DeadlineExceeded
+}
+
+func (noWorkers) Hold(context.Context, worker.HoldOrder) (worker.Report, error) {
+	return worker.Report{}, context.DeadlineExceeded
+}
+
+func (noWorkers) Forget(string) {}
+
+// Guards against one malformed job of another VM that takes the whole process down: a step that waits for one that does not
+// exist.
+func TestMalformedSubmissionEndsOneGroupOnly(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}, Rules: placement.DefaultRules(), Workers: noWorkers{}, Settings: Settings{VM: "v", Zone: "a"}})
+	ctx, cancel := context.WithCancel(t.Context())
+	g.ctx = ctx
+	answers := map[placement.Key]placement.Verdict{}
+	newDriver := func(group string) *driver {
+		g.startDriver(ctx, group, 256, false)
+		d := g.driverOf(group)
+		d.answer = func(key placement.Key, v placement.Verdict, _ map[string]placement.Load) { answers[key] = v }
+		return d
+	}
+	broken, sound := newDriver("a#0"), newDriver("a#1")
+	first, bad := placement.Key{Sequence: 1}, placement.Key{Sequence: 2}
+	policy := job.Policy{Service: "s"}
+	broken.apply(ctx, placement.Submit{Key: first, Work: job.Work{ID: "1", Steps: []job.Step{{Count: 1}}}, Policy: policy, Budget: time.Second, Resumed: true})
+	broken.apply(ctx, placement.Submit{Key: bad, Work: job.Work{ID: "2", Steps: []job.Step{{Count: 1, After: []int{7}}}}, Policy: policy, Budget: time.Second})
+	is.True(broken.lostFence()) // the VM claims the group again
+	_, moved := answers[first].(placement.Moved)
+	is.True(moved)
+	_, open := answers[bad].(placement.Expired)
+	is.True(open) // not refused: nobody knows
+	is.True(!sound.lostFence())
+	is.Equal(g.meter.panics.Get(), uint64(1))
+	cancel()
+	is.NoErr(g.tasks.Wait())
+}
+
+// Guards against a request or a message whose unexpected error takes the process down.
+func TestGuards(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}})
+	var rc fasthttp.RequestCtx
+	g.guarded(func(*fasthttp.RequestCtx) { panic("unexpected") })(&rc)
+	is.Equal(rc.Response.StatusCode(), fasthttp.StatusGatewayTimeout) // no refusal: a task may have started
+	ran := 0
+	ctx, cancel := context.WithCancel(t.Context())
+	g.keepRunning(ctx, "test", func(context.Context) {
+		if ran++; ran == 1 {
+			panic("unexpected")
+		}
+		cancel()
+	})
+	is.NoErr(g.tasks.Wait())
+	is.Equal(ran, 2)
+	is.True(!g.guard("message", func() { guardedPeer{outbound{}, g}.Handler.Received(nil, peer.Verdict{}) }))
+}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -278,7 +278,7 @@
 	config := placement.Config{Fence: fence, Rules: rules, Partial: g.view.partial(rules.RemovalGrace), Restoring: true, Lasting: g.lastingOf(group)}
 	d := &driver{
 		group: group, fence: fence, withoutStore: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
-		answer: g.reply, hand: g.handTo, meter: g.meter,
+		answer: g.reply, hand: g.handTo, guard: g.guard, meter: g.meter,
 		pool: placement.New(config), seen: map[string]worker.Resources{}, handed: map[worker.Run]handedStart{},
 	}
 	d.keeper = newKeeper(g, d)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -96,7 +96,7 @@
 		g.background(ctx, func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, watchWait)
 			defer cancel()
-			if err := peer.Dial(ctx, address, g.peers(), asking{g}); err != nil && ctx.Err() == nil {
+			if err := peer.Dial(ctx, address, g.peers(), guardedPeer{asking{g}, g}); err != nil && ctx.Err() == nil {
 				g.log.Debug().Str("event", "seed-silent").Str("address", address).Err(err).Send()
 			}
 		})
@@ -123,7 +123,7 @@
 	l := &link{vm: vm, address: address, downSince: time.Now().Add(firstContact), lost: make(chan struct{}), stop: stop, holds: map[string]int64{}}
 	g.background(ctx, func(ctx context.Context) {
 		for ctx.Err() == nil {
-			if err := peer.Dial(ctx, address, g.peers(), outbound{g, l}); err != nil && ctx.Err() == nil {
+			if err := peer.Dial(ctx, address, g.peers(), guardedPeer{outbound{g, l}, g}); err != nil && ctx.Err() == nil {
 				g.dialFailed(l)
 				pause(ctx, redialDelay)
 			}
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -17,6 +17,7 @@
 	resumed   *metrics.Counter
 	withdrawn *metrics.Counter
 	startTime *metrics.Histogram
+	panics    *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -28,6 +29,7 @@
 		claims:    set.NewCounter("samphireplank_claims_total"),
 		resumed:   set.NewCounter("samphireplank_jobs_resumed_total"),
 		withdrawn: set.NewCounter("samphireplank_jobs_withdrawn_total"),
+		panics:    set.NewCounter("samphireplank_panics_total"),
 		startTime: set.NewHistogram("samphireplank_task_start_seconds"),
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -56,7 +56,7 @@
 
 // run serves until ctx ends, then drains: no new connections, groups handed over, all requests answered.
 func (s servers) run(ctx, work context.Context, g *Gateway) error {
-	callers := g.httpServer(g.count(g.config.Front(g)))
+	callers := g.httpServer(g.count(g.guarded(g.config.Front(g))))
 	ready := g.httpServer(g.readiness)
 	metrics := g.httpServer(g.metrics)
 	var group errgroup.Group
