Look for a pause of the process before each decision

On waking, its holder sent orders for groups that others had taken, which only workers that had heard the higher fence rejected, and it handed over requests whose callers had sent them elsewhere after 1.3 s.

Change: before a pool decides and before a job is handed over, CLOCK_BOOTTIME is compared with the last look, at most 50 ms ago in a process that runs. After 0.5 s or more the VM gives up its groups, whose jobs move, and claims those again that nobody has taken, by the revision that it knew. Requests from before the pause get no verdict; those that may have waited for its end get 30 ms in which a caller that has left is noticed.

Weighed: checking with the store before each order (a call of 4 ms each), or only in ticks (orders leave before the first). Tests: TestPausedHolderSendsNoOrder and TestPausedVMStartsNoEarlierRequest, which fail without the look.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -26,8 +26,11 @@
 	answer  func(key placement.Key, verdict placement.Verdict, loads map[string]placement.Load)
 	hand    func(to placement.Key, orders peer.Orders) bool // to the VM of a submission; false if it is out of reach
 	guard   func(where string, f func()) bool
-	meter   *meter
-	keeper  *keeper
+
+	checkPause func(ctx context.Context)
+
+	meter  *meter
+	keeper *keeper
 
 	mu           sync.Mutex
 	pool         *placement.Pool
@@ -40,7 +43,13 @@
 	handed       map[worker.Run]handedStart  // starts that the VMs of submissions send and that have no answer yet
 }
 
+// apply lets the pool decide on a message, unless the process has been paused and may have lost the group meanwhile.
 func (d *driver) apply(ctx context.Context, m placement.Message) {
+	d.checkPause(ctx)
+	d.decide(ctx, m)
+}
+
+func (d *driver) decide(ctx context.Context, m placement.Message) {
 	effects, ok := d.step(time.Now(), m)
 	if !ok {
 		d.abandon(ctx, m)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	nextLink    atomic.Uint64
 	nextRequest atomic.Uint64
 	accepts     accepts
+	wake        *wakefulness
 	finals      finals
 	unreached   unreached
 	divided     time.Time // last try to write the number of groups; of holdGroups only
@@ -73,7 +74,7 @@
 	log := config.Log.With().Str("vm", self.VM).Logger()
 	return &Gateway{
 		config: config, settings: config.Settings, log: log, self: self,
-		accepts: accepts{keys: config.Store}, waiting: map[string]map[string]int{}, lasting: map[string][]string{},
+		accepts: accepts{keys: config.Store}, wake: newWakefulness(bootClock, time.Now), waiting: map[string]map[string]int{}, lasting: map[string][]string{},
 		view: newView(config.Codec, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*link{}, inbound: map[*peer.Conn]uint64{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*driver{},
 		pending: map[uint64]*pendingAsk{}, active: map[string]*activeJob{}, asked: map[string]offer{},
@@ -263,6 +264,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			g.checkPause(ctx)
 			for _, d := range g.allDrivers() {
 				d.apply(ctx, placement.Tick{})
 			}
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -36,7 +36,7 @@
 // exist.
 func TestMalformedSubmissionEndsOneGroupOnly(t *testing.T) {
 	is := is.New(t)
-	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}, Rules: placement.DefaultRules(), Workers: noWorkers{}, Settings: Settings{VM: "v", Zone: "a"}})
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}, Rules: placement.DefaultRules(), Store: emptyKeys{}, Workers: noWorkers{}, Settings: Settings{VM: "v", Zone: "a"}})
 	ctx, cancel := context.WithCancel(t.Context())
 	g.ctx = ctx
 	answers := map[placement.Key]placement.Verdict{}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -278,14 +278,14 @@
 	config := placement.Config{Fence: fence, Rules: rules, Partial: g.view.partial(rules.RemovalGrace), Restoring: true, Lasting: g.lastingOf(group)}
 	d := &driver{
 		group: group, fence: fence, withoutStore: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
-		answer: g.reply, hand: g.handTo, guard: g.guard, meter: g.meter,
+		answer: g.reply, hand: g.handTo, guard: g.guard, checkPause: g.checkPause, meter: g.meter,
 		pool: placement.New(config), seen: map[string]worker.Resources{}, handed: map[worker.Run]handedStart{},
 	}
 	d.keeper = newKeeper(g, d)
 	g.mu.Lock()
 	g.drivers[group] = d
 	g.mu.Unlock()
-	g.background(ctx, d.keeper.run)
+	g.keepRunning(ctx, "stored jobs of "+group, d.keeper.run)
 	g.log.Info().Str("event", "holding").Str("group", group).Int64("fence", fence).Msg("holds the group")
 	g.updateFleets(ctx)
 	g.view.poke()
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -18,6 +18,7 @@
 	withdrawn *metrics.Counter
 	startTime *metrics.Histogram
 	panics    *metrics.Counter
+	pauses    *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -30,6 +31,7 @@
 		resumed:   set.NewCounter("samphireplank_jobs_resumed_total"),
 		withdrawn: set.NewCounter("samphireplank_jobs_withdrawn_total"),
 		panics:    set.NewCounter("samphireplank_panics_total"),
+		pauses:    set.NewCounter("samphireplank_pauses_total"),
 		startTime: set.NewHistogram("samphireplank_task_start_seconds"),
 	}
 }
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -76,6 +76,7 @@
 	lostAt   time.Time
 	asked    map[string]bool
 	refusal  Refused
+	pauses   int // of the process before the request
 }
 
 // Submit runs a job and returns its end; ctx ends when the caller no longer waits.
@@ -96,6 +97,8 @@
 			delete(g.active, s.Work.ID)
 		}
 	}()
+	g.awaitGone(ctx)
+	r.pauses, _ = g.wake.state()
 	reply := r.truthful(g.pursue(ctx, r))
 	g.logReply(r, reply)
 	return reply
@@ -127,6 +130,10 @@
 		if left <= 0 {
 			return r.outOfTime()
 		}
+		g.checkPause(g.ctx)
+		if pauses, _ := g.wake.state(); pauses != r.pauses {
+			return Undecided{Reason: "the VM was paused, and the caller may have sent the job elsewhere"}
+		}
 		group, holder := g.pick(r)
 		if holder == nil {
 			if reply := g.awaitHolder(ctx, r); reply != nil {
--- /dev/null
+++ b/gateway/wake_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
+	"samphireplank.example/samphireplank/worker"
+)
+
+// countedWorkers runs what it is told to start for ever.
+type countedWorkers struct {
+	noWorkers
+	mu     sync.Mutex
+	starts []worker.Running
+}
+
+func (c *countedWorkers) Hold(_ context.Context, o worker.HoldOrder) (worker.Report, error) {
+	time.Sleep(min(o.Wait, 10*time.Millisecond))
+	return worker.Report{Clock: time.Hour, Born: 1, Running: c.running()}, nil
+}
+
+func (c *countedWorkers) Start(_ context.Context, o worker.StartOrder) (worker.Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts = append(c.starts, worker.Running{Run: o.Run, Progress: 50})
+	return worker.Report{Clock: time.Hour, Born: 1}, nil
+}
+
+func (c *countedWorkers) running() []worker.Running {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]worker.Running(nil), c.starts...)
+}
+
+// emptyKeys is a store without keys.
+type emptyKeys struct{ store.Keyspace }
+
+func (emptyKeys) Range(context.Context, string) (store.Snapshot, error) {
+	return store.Snapshot{Revision: 1}, nil
+}
+
+// Guards against a holder that was suspended for seconds and sends orders for a group that another VM has taken
+// meanwhile: its steady clock has not moved, so that all its leases and time-outs look unspent.
+func TestPausedHolderSendsNoOrder(t *testing.T) {
+	is := is.New(t)
+	workers := &countedWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}, Rules: placement.DefaultRules(), Store: emptyKeys{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseTime: time.Second}})
+	var boot atomic.Int64 // as a time.Duration
+	g.wake = newWakefulness(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	g.ctx = ctx
+	g.view.shapes["a"] = shape{Groups: 1}
+	g.view.ownRead = true
+	g.view.workersRead = time.Now().Add(-time.Hour)
+	g.view.write(entry("w", 5))
+	g.view.write(entry("w", 6))
+	g.startDriver(ctx, "a#0", 256, false)
+	d := g.driverOf("a#0")
+	var verdicts sync.Map // by key
+	d.answer = func(key placement.Key, v placement.Verdict, _ map[string]placement.Load) {
+		verdicts.Store(key.Sequence, v)
+	}
+	d.apply(ctx, placement.Restored{})
+	submit := func(sequence uint64, id string) {
+		w := job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+		d.apply(ctx, placement.Submit{Key: placement.Key{Sequence: sequence}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
+	}
+	for sequence := uint64(1); len(workers.running()) == 0; sequence++ { // refused until the worker has been looked at
+		submit(sequence, "0000000000000001")
+		time.Sleep(5 * time.Millisecond)
+	}
+	boot.Add(int64(3 * time.Second))
+	submit(1000, "0000000000000002")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(workers.running()), 1)
+	last, _ := verdicts.Load(uint64(1000))
+	refused, notRun := last.(placement.NotRun)
+	is.True(notRun)
+	is.Equal(refused.Reason, placement.ReasonMoved) // another group or holder is asked
+	moved := 0
+	verdicts.Range(func(_, v any) bool {
+		if _, ok := v.(placement.Moved); ok {
+			moved++
+		}
+		return true
+	})
+	is.True(moved > 0) // the job that was running
+	is.True(g.driverOf("a#0") == nil)
+	is.True(time.Since(g.outranked["a#0"].at) >= outrankedTime) // a claim under the known revision comes at once
+	is.Equal(g.meter.pauses.Get(), uint64(1))
+}
+
+// Guards against a request from before a pause that is started after it, when its caller has sent it elsewhere.
+func TestPausedVMStartsNoEarlierRequest(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}, Settings: Settings{VM: "v", Zone: "a"}})
+	boot := time.Hour
+	g.wake = newWakefulness(func() time.Duration { return boot }, time.Now)
+	g.ctx = t.Context()
+	r := &request{deadline: time.Now().Add(time.Minute), arrived: time.Now(), asked: map[string]bool{}}
+	boot += 2 * time.Second
+	reply := g.pursue(t.Context(), r)
+	_, undecided := reply.(Undecided)
+	is.True(undecided) // not refused: the job may have run elsewhere
+	boot += pauseTime / 2
+	is.Equal(g.wake.look(), time.Duration(0)) // a late tick is no pause
+}
