--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"os"
 	"time"
 
 	"samphireplank.example/samphireplank/peer"
@@ -190,13 +192,28 @@
 	}
 	h.g.mu.Unlock()
 	h.g.log.Warn().Str("event", "link-down").Str("peer", h.l.vm).Err(err).Send()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.g.probe(c.Remote().Zone)
+	}
 	h.g.nudge()
 	h.g.view.poke()
 }
 
+// probe asks all VMs of a zone for a sign of life, since one of them has fallen silent: a zone that is cut off would else be
+// found connection by connection, each at the cost of a job or after the silence of an idle one.
+func (g *Gateway) probe(zone string) {
+	for _, c := range g.connections() {
+		if c.Remote().Zone == zone {
+			c.Often(true) // until the next heartbeat
+		}
+	}
+}
+
 // heard takes in what another VM holds and knows.
 func (g *Gateway) heard(c *peer.Conn, l *link, m peer.Heartbeat) {
-	if l != nil {
+	if l == nil {
+		c.Often(false)
+	} else {
 		g.mu.Lock()
 		l.stopping = m.Stopping
 		before := maps.Clone(l.holds)
