--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -30,8 +30,6 @@
 	return worker.Report{}, context.DeadlineExceeded
 }
 
-func (noWorkers) Forget(string) {}
-
 // Guards against one malformed job of another VM that takes the whole process down: a step that waits for one that does not
 // exist.
 func TestMalformedSubmissionEndsOneGroupOnly(t *testing.T) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -67,17 +67,11 @@
 	Work(id string, body []byte) (job.Work, error)
 }
 
-// WorkerClient sends orders to workers and can drop the connections to one that is gone.
-type WorkerClient interface {
-	worker.Client
-	Forget(address string)
-}
-
 // Config configures a Gateway.
 type Config struct {
 	Settings Settings
 	Store    store.Keyspace
-	Workers  WorkerClient
+	Workers  worker.Client
 	Codec    Codec
 	Front    Front
 	Rules    placement.Rules
