--- a/placement/health.go
+++ b/placement/health.go
@@ -139,7 +139,8 @@
 }
 
 // lengthOfOthers returns the median run time of the other tasks of the step, by their ends and by their progress on other
-// workers, 0 if nothing is known, and whether some still run there. Where all tasks of a job take longer than declared, the job is long and no worker is slow.
+// workers, 0 if nothing is known, and whether some still run there. Where all tasks of a job take longer than declared, the
+// job is long and no worker is slow.
 func (p *Pool) lengthOfOthers(r *run) (length time.Duration, open bool) {
 	s := &r.batch.steps[r.step]
 	lengths := append([]time.Duration(nil), s.lengths...)
--- a/placement/patience_test.go
+++ b/placement/patience_test.go
@@ -10,6 +10,15 @@
 	"samphireplank.example/samphireplank/worker"
 )
 
+// burstOfWideJobs plays a calm load with two seconds of wide jobs, whose starts queue on a narrow link.
+func burstOfWideJobs(f *fleet) {
+	calm(f, 1)
+	wide := knot
+	wide.width = 24
+	f.load(wide, 12, 3*time.Second, 5*time.Second)
+	f.run(loadTime + 4*time.Second)
+}
+
 // Guards against time-outs that are shorter than the queue on a link of 250 KB a second: each repeats an order, and the
 // repeated orders keep the queue long after the load has gone.
 func TestNarrowLink(t *testing.T) {
@@ -19,11 +28,7 @@
 		f.link = simLink{rate: 250_000, known: known}
 		f.rules.MaxStartTimeout = longest
 		f.newPool()
-		calm(f, 1)
-		wide := knot
-		wide.width = 24
-		f.load(wide, 12, 3*time.Second, 5*time.Second)
-		f.run(loadTime + 4*time.Second)
+		burstOfWideJobs(f)
 		began := 0
 		for _, w := range f.workers {
 			began += int(w.sequence) + len(w.runs)
@@ -47,11 +52,7 @@
 	f := newFleet(t, 1, 16)
 	f.link = simLink{rate: 250_000, known: true}
 	f.newPool()
-	calm(f, 1)
-	wide := knot
-	wide.width = 24
-	f.load(wide, 12, 3*time.Second, 5*time.Second)
-	f.run(loadTime + 4*time.Second)
+	burstOfWideJobs(f)
 	moved := 0
 	for _, n := range f.notes {
 		if n.Event == "run-moved" || n.Event == "worker-barred" {
