Tell the next holder of runs that may be alive where nobody knows

Reading the hand-over with that in mind: a holder that resumes a job without progress lets its tasks wait until all workers have answered or all leases have lapsed. Handed over again meanwhile, it named no worker for them, which its successor reads as never started. The same for runs that were being stopped.

Change: progress names any worker for such a task, and the worker of a run that was found and not ended; the successor waits. Ruled out: no longer giving groups away, since planned stops make the same pair of changes.

--- a/placement/batch.go
+++ b/placement/batch.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -66,8 +67,11 @@
 
 func (b *batch) name(step, index int) string { return job.TaskName(b.work.ID, step, index) }
 
+// anyWorker stands for the worker of a run that may be alive where it is not known on which.
+const anyWorker = "*"
+
 // progress sums up the job for the next holder.
-func (b *batch) progress(alive map[string]*run, now time.Time) Progress {
+func (b *batch) progress(alive map[string]*run, earlier map[string]found, now time.Time) Progress {
 	p := Progress{}
 	for i := range b.steps {
 		n := len(b.steps[i].tasks)
@@ -77,8 +81,10 @@
 			done[j], failed[j], counted[j], runs[j], checkpoints[j] = t.state == taskDone, t.failed, t.counted, t.runs, t.resumeAt
 			if r := alive[b.name(i, j)]; r != nil {
 				on[j] = r.node.ID
+			} else if f, ok := earlier[b.name(i, j)]; ok && !f.done {
+				on[j] = f.node.ID
 			} else if t.notBefore.After(now) {
-				on[j] = t.lastSeen
+				on[j] = cmp.Or(t.lastSeen, anyWorker)
 			}
 		}
 		p.Done, p.Failed, p.Counted = append(p.Done, done), append(p.Failed, failed), append(p.Counted, counted)
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		b.saving = true
-		progress := b.progress(nil, p.now)
+		progress := b.progress(nil, nil, p.now)
 		progress.On = nil
 		p.emit(Save{Job: b.work.ID, Version: b.version, State: b.state, Progress: progress})
 	}
--- a/placement/order.go
+++ b/placement/order.go
@@ -113,7 +113,7 @@
 	if !p.now.Before(t.notBefore) {
 		return false
 	}
-	if t.lastSeen != "" {
+	if t.lastSeen != "" && t.lastSeen != anyWorker {
 		n := p.nodes[t.lastSeen]
 		return n == nil || !n.surveyed
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -189,7 +189,7 @@
 			p.emit(Answer{k, NotRun{Reason: ReasonMoved, RetryAfter: p.rules.MinRefusalWait}})
 			continue
 		}
-		p.emit(Answer{k, Moved{Progress: b.progress(p.tasks, p.now)}})
+		p.emit(Answer{k, Moved{Progress: b.progress(p.tasks, p.found, p.now)}})
 	}
 	p.jobs = map[Key]*batch{}
 }
