--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/peer"
@@ -77,5 +80,30 @@
 	})
 	is.NoErr(g.tasks.Wait())
 	is.Equal(ran, 2)
-	is.True(!g.guard("message", func() { guardedPeer{outbound{}, g}.Handler.Received(nil, peer.Verdict{}) }))
+}
+
+// greeter sends a message on each connection.
+type greeter struct{ mute }
+
+func (greeter) Opened(c *peer.Conn) { c.Send(peer.Want{}) }
+
+// failing cannot handle any message.
+type failing struct{ mute }
+
+func (failing) Received(*peer.Conn, peer.Message) { panic("unexpected") }
+
+// Guards against a message of another VM whose unexpected error ends more than its connection.
+func TestMessageEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop(), Codec: simCodec{}})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return peer.Listen(ctx, listener, peer.Config{Self: peer.Hello{VM: "far"}}, greeter{}) })
+	err = peer.Dial(ctx, listener.Addr().String(), peer.Config{Self: peer.Hello{VM: "near"}}, guardedPeer{failing{}, g})
+	is.True(errors.Is(err, errPanic))
+	is.Equal(g.meter.panics.Get(), uint64(1))
+	cancel()
+	is.NoErr(group.Wait())
 }
