Bound the life of runs by permits of the submitting VM

Cause: a holder acted on a submission for as long as its connection seemed open. A submission that was delayed on a link, or a holder that got no processor for some hundred ms, started or kept runs after the entry VM had given the job to another group, or its caller had sent it to another VM. Change: messages between VMs return a reading of the holder's clock (suspension included). It gives each connection a permit of 0.85 s, which every message extends by less if it was delayed. Leases of workers end at most 0.4 s after the permits of the jobs on them, so that the worker itself rejects late starts and kills runs of a stalled holder, 1.25 s after the VM's last message; clients send a job again after 1.3 s. A new holder does not renew leases while unadopted runs are on a worker, and its stops are sent. Ruled out: checking the permit again before each order leaves (the lease in the order does the same, 3,000 histories without it: 0). Test: TestStalledProcesses plays two groups under real schedulers and two entry VMs, with stalls of 50 to 600 ms at random times and right after starts, stops and polls, late submissions, kills, cuts and changes of the holder. 6,000 histories: 0 tasks with two runs at a time. Of 400 without readings of the clock 27 fail; of 3,000 with one part out: leases beyond the permit 154, unadopted runs renewed 73, expired permits not released 1; stops without a timeout fail 16 checks of the simulated group. A lost connection of any kind now makes the VMs of its zone be probed: TestUnreachableVMMakesItsZoneProbed failed when the other side timed out first (EOF in place of a timeout, shown by logs of 5 failing processes of 12).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	mu                  sync.Mutex
 	links               map[string]*peerLink
 	inbound             map[*peer.Conn]uint64
+	permits             placement.Permits    // of the inbound connections, until their submissions are withdrawn
 	followers           map[*peer.Conn]int64 // revision of the worker list sent to each follower
 	drivers             map[string]*groupDriver
 	pending             map[uint64]*pendingRequest
@@ -76,7 +77,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(bootClock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: newStoreCache(config.Decoder, log), meter: newMeter(), tasks: &errgroup.Group{},
-		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
+		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
 		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
 		holdWake: make(chan struct{}, 1),
@@ -97,7 +98,7 @@
 		return errors.Join(err, links.Close())
 	}
 	g.log.Info().Str("event", "start").Str("zone", g.settings.Zone).Str("address", g.settings.CallerAddress).Int64("incarnation", g.self.Incarnation).Msg("started")
-	if margin := g.settings.ClientRetryDelay - peer.ReadTimeout - reconnectGrace; margin < resendMargin {
+	if margin := g.settings.ClientRetryDelay - permitDuration - placement.PermitLease; margin < resendMargin {
 		g.log.Warn().Str("event", "settings").Int64("margin-ms", margin.Milliseconds()).Msg("clients send a job again before the tasks of an unreachable VM have certainly stopped")
 	}
 	g.tasks.Go(func() error {
@@ -125,9 +126,8 @@
 	return err
 }
 
-// resendMargin is the time to stop a task between the withdrawal of an unreachable VM's jobs and the client's next
-// attempt.
-const resendMargin = 150 * time.Millisecond
+// resendMargin covers the drift of the clocks that measure permits and leases, and the time a worker takes to kill a run.
+const resendMargin = 40 * time.Millisecond
 
 // taskShutdownTimeout limits the wait for background work at shutdown. A pending call of the store cannot be
 // interrupted, and nothing depends on its result any more.
@@ -148,7 +148,7 @@
 
 // peerConfig returns the configuration of connections to other VMs.
 func (g *Gateway) peerConfig() peer.Config {
-	return peer.Config{Self: g.self, Traffic: g.config.Traffic}
+	return peer.Config{Self: g.self, Traffic: g.config.Traffic, Clock: bootClock}
 }
 
 // trafficInterval is the interval of log lines about traffic; each has one field per purpose, with both directions.
@@ -270,8 +270,9 @@
 			return
 		case <-ticker.C:
 			g.checkPause(ctx)
+			permits := g.copyPermits()
 			for _, d := range g.allDrivers() {
-				d.apply(ctx, placement.Tick{})
+				d.apply(ctx, placement.Tick{Permits: permits})
 			}
 		}
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
-	"os"
 	"time"
 
 	"samphireplank.example/samphireplank/peer"
@@ -194,16 +192,15 @@
 	}
 	h.g.mu.Unlock()
 	h.g.log.Warn().Str("event", "link-down").Str("peer", h.l.vm).Err(err).Send()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		h.g.requestHeartbeats(c.Remote().Zone)
-	}
+	h.g.requestHeartbeats(c.Remote().Zone)
 	h.g.wakeHoldLoop()
 	h.g.cache.notify()
 }
 
-// requestHeartbeats requests frequent heartbeats from all VMs of a zone after a read timeout of one of them. Otherwise
-// the partition of a zone is detected connection by connection, each at the cost of a job or after the timeout of an
-// idle connection.
+// requestHeartbeats requests frequent heartbeats from all VMs of a zone after the loss of a connection to one of them.
+// Otherwise the partition of a zone is detected connection by connection, each at the cost of a job or after the timeout
+// of an idle connection. The reason of the loss does not matter: after a partition that lets the packets of one
+// direction pass, either side may time out first and close the connection.
 func (g *Gateway) requestHeartbeats(zone string) {
 	for _, c := range g.connections() {
 		if c.Remote().Zone == zone {
@@ -298,6 +295,7 @@
 			d.apply(h.g.ctx, placement.Withdraw{Key: placement.SubmissionKey{Conn: h.connID(c), Sequence: m.Sequence}, Reason: "the caller has left"})
 		}
 	case peer.Heartbeat:
+		h.g.extendPermit(h.connID(c), m.Echo)
 		h.g.handleHeartbeat(c, nil, m)
 	case peer.Want:
 		c.Send(h.g.cache.copyFor(m.All))
@@ -351,7 +349,9 @@
 		c.Send(peer.NewVerdict(m.Sequence, notHeldVerdict(m)))
 		return
 	}
-	d.apply(h.g.ctx, newSubmit(placement.SubmissionKey{Conn: id, Sequence: m.Sequence}, m))
+	submit := newSubmit(placement.SubmissionKey{Conn: id, Sequence: m.Sequence}, m)
+	submit.PermitUntil = h.g.extendPermit(id, m.Echo)
+	d.apply(h.g.ctx, submit)
 }
 
 // notHeldVerdict is the verdict on a job for a group that this VM does not hold.
@@ -377,6 +377,9 @@
 		for _, d := range h.g.allDrivers() {
 			d.apply(ctx, placement.WithdrawConn{Conn: id})
 		}
+		h.g.mu.Lock()
+		defer h.g.mu.Unlock()
+		delete(h.g.permits, id)
 	})
 }
 
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -45,9 +45,9 @@
 	maxGroupsAsked = 3
 	// holderWait limits the wait for a holder before a job that has not started anywhere is refused.
 	holderWait = 400 * time.Millisecond
-	// orphanedRunTimeout is the time after the loss of a holder by which all its runs have ended: the holder withdraws the
-	// jobs of a lost connection within 0.9 s, and the workers' leases expire within 1.04 s.
-	orphanedRunTimeout = 1150 * time.Millisecond
+	// orphanedRunTimeout is the time after the loss of a holder by which all its runs of this VM's jobs have ended: the
+	// permit and the leases that outlast it expire within 1.25 s.
+	orphanedRunTimeout = permitDuration + placement.PermitLease + resendMargin
 	// replyMargin is reserved from the caller's time limit for sending the answer.
 	replyMargin = 15 * time.Millisecond
 )
@@ -405,6 +405,7 @@
 	if h.driver != nil {
 		h.driver.apply(g.ctx, newSubmit(placement.SubmissionKey{Sequence: m.Sequence}, m))
 	} else {
+		m.Echo = h.conn.Echo()
 		h.conn.Send(m)
 	}
 	// The holder ends the job at the deadline; the margin allows for its answer.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -31,6 +31,9 @@
 type Config struct {
 	Self    Hello
 	Traffic *traffic.Meter // may be nil
+	// Clock returns a reading of the VM's clock, time of suspension included. Messages carry it, so that the other VM
+	// can return it; nil leaves the readings out.
+	Clock func() time.Duration
 }
 
 // Conn is a connection to another VM.
@@ -43,8 +46,9 @@
 	err       error
 	remote    Hello
 
-	mu       sync.Mutex
-	schedule heartbeatSchedule
+	mu          sync.Mutex
+	schedule    heartbeatSchedule
+	remoteClock clockBound
 }
 
 // Remote returns the Hello of the other VM; it is empty until the Hello has arrived.
@@ -115,7 +119,9 @@
 	stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
 	defer stop()
 	var group errgroup.Group
-	c.sendQueue <- config.Self
+	hello := config.Self
+	hello.Clock = c.clock()
+	c.sendQueue <- hello
 	group.Go(func() error {
 		err := c.write()
 		c.Close(err)
@@ -141,6 +147,7 @@
 		c.config.Traffic.CountReceived(purpose(e.Message), buffer.takeCount())
 		if hello, ok := e.Message.(Hello); ok {
 			c.remote = hello
+			c.observeClock(hello.Clock)
 			handler.Opened(c)
 			continue
 		}
--- a/peer/message.go
+++ b/peer/message.go
@@ -20,6 +20,7 @@
 	Zone        string
 	Address     string
 	Incarnation int64 // start of the process in Unix nanoseconds
+	Clock       time.Duration
 }
 
 // Holding describes a group that a VM holds.
@@ -38,6 +39,8 @@
 	Listed        int64 // revision up to which the VM has read the worker list from the store itself, 0 if it is no watcher
 	Stopping      bool
 	Often         bool // the sender asks for frequent heartbeats on this connection
+	Clock         time.Duration
+	Echo          time.Duration // lower bound of the receiver's clock when the heartbeat was sent, 0 if unknown
 }
 
 // Submit submits a job to the holder of a group; the holder answers with a Verdict.
@@ -51,6 +54,7 @@
 	Resumed  bool
 	Progress placement.Progress
 	Sends    bool // the submitting VM sends the start orders to workers itself, so the work has no spec
+	Echo     time.Duration
 }
 
 // Orders asks the VM that submitted a job to send its start orders to workers.
--- a/peer/pace.go
+++ b/peer/pace.go
@@ -65,6 +65,7 @@
 	}
 	c.schedule.lastHeartbeat, c.schedule.lastSentWant = now, c.schedule.wantFrequent
 	m.Often = c.schedule.wantFrequent
+	m.Clock, m.Echo = c.clock(), c.remoteClock.at(c.clock())
 	c.mu.Unlock()
 	c.Send(m)
 }
@@ -94,6 +95,7 @@
 func (c *Conn) trackReceived(m Message) {
 	c.trackMessage(m)
 	if beat, ok := m.(Heartbeat); ok {
+		c.observeClock(beat.Clock)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.schedule.peerWantsFrequent = beat.Often
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -109,7 +109,7 @@
 func (s *Scheduler) stopOrphan(name string, f orphanedRun) {
 	f.stopping = true
 	s.orphans[name] = f
-	s.emit(StopRun{worker.StopOrder{Target: target(f.worker), Run: worker.Run{Task: name, Number: f.number}, Fence: s.fence}})
+	s.emit(StopRun{worker.StopOrder{Target: target(f.worker), Run: worker.Run{Task: name, Number: f.number}, Fence: s.fence, Timeout: s.orderTimeout()}})
 }
 
 // reconcileOrphans processes the listed runs of a worker that this scheduler did not start.
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -24,6 +24,7 @@
 	started        bool // a task has certainly started
 	inQueue        bool
 	closed         bool // answered; its remaining runs are being stopped
+	closedAt       time.Time
 	rank           float64
 	lateness       int           // result of Scheduler.lateness at the last placement
 	specMissing    bool          // only the sender knows the spec
@@ -132,6 +133,9 @@
 
 // submit accepts a job or refuses it at once.
 func (s *Scheduler) submit(m Submit) {
+	if !m.PermitUntil.IsZero() && !s.grantPermit(m) {
+		return
+	}
 	if m.Durable {
 		s.submitDurable(m)
 		return
@@ -264,7 +268,7 @@
 			s.emit(Reply{k, verdict})
 		}
 	}
-	js.closed = true
+	js.closed, js.closedAt = true, s.now
 	delete(s.jobs, js.work.ID)
 	if js.durable {
 		switch verdict.(type) {
--- a/placement/message.go
+++ b/placement/message.go
@@ -41,6 +41,7 @@
 	StartDelay      time.Duration // time until a scheduled job may start its tasks
 	Durable         bool          // the job is persisted; it has no deadline and no verdict, and Key is not used
 	DelegatedStarts bool          // the submitting VM sends the start orders, and Work has no spec
+	PermitUntil     time.Time     // initial permit of the connection, see Permits; zero if it needs none
 }
 
 // Progress is the known progress of a job that another holder has run.
@@ -109,7 +110,11 @@
 type RestoreDone struct{}
 
 // Tick advances the time. It is sent at regular intervals.
-type Tick struct{}
+type Tick struct {
+	// Permits holds, by connection, until when the holder may act on submissions; later messages of the submitting VM
+	// extend it. Nil leaves the known permits as they are.
+	Permits Permits
+}
 
 // HandOver stops the Scheduler, which reports the progress of its jobs to their submitters.
 type HandOver struct{}
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -39,7 +39,7 @@
 		ProbeInterval:       250 * time.Millisecond,
 		AckDelay:            300 * time.Millisecond,
 		UnackedPollInterval: 15 * time.Millisecond,
-		AdoptionTimeout:     300 * time.Millisecond,
+		AdoptionTimeout:     200 * time.Millisecond,
 		RemovalGrace:        2500 * time.Millisecond,
 		Quarantine:          time.Second,
 		MaxQuarantine:       6 * time.Second,
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -35,6 +35,7 @@
 	orphans         map[string]orphanedRun // orphaned runs, by task
 	routeDurations  map[string]float64
 	startRTT        rttEstimator
+	permits         Permits
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
 	unpersisted     []*jobState          // durable jobs with unpersisted changes
 	deferredEnds    []deferredEnd
@@ -60,6 +61,7 @@
 		durableJobs:     map[string]*jobState{},
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
+		permits:         Permits{},
 	}
 	for _, id := range config.LongRunningJobs {
 		s.longRunningJobs[id] = true
@@ -104,7 +106,7 @@
 	case RestoreDone:
 		s.handleRestoreDone()
 	case Tick:
-		s.tick()
+		s.tick(m)
 	case HandOver:
 		s.handOver()
 		return s.effects
@@ -160,8 +162,13 @@
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
-// tick handles what is due by time alone: expired leases, unlisted workers, draining workers and orphaned runs.
-func (s *Scheduler) tick() {
+// tick handles what is due by time alone: expired leases and permits, unlisted workers, draining workers and orphaned
+// runs.
+func (s *Scheduler) tick(m Tick) {
+	if m.Permits != nil {
+		s.permits = m.Permits
+	}
+	s.releaseExpired()
 	for _, w := range s.sortedWorkers {
 		s.expireLease(w)
 	}
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -13,10 +13,9 @@
 
 // simGroup runs a scheduler against simulated workers on a simulated clock and checks invariants after each event.
 type simGroup struct {
+	*simClock
 	t              testing.TB
-	now            time.Time
 	start          time.Time
-	events         eventQueue
 	rand           *rand.Rand
 	scheduler      updater
 	generations    int
@@ -47,6 +46,11 @@
 	doneTasks            map[string]bool // tasks with a completed run
 	acknowledged         map[string]bool // tasks of durable jobs whose completion was acknowledged
 	acknowledgedFailures map[string]int  // acknowledged failed runs of tasks of durable jobs
+
+	processes map[updater]*simProcess // of schedulers that may be stalled
+	onEffect  func(Effect)            // called before an effect of such a scheduler is executed
+	twoRuns   func(task string)       // called when a task has two runs at a time, which fails the test if nil
+	permits   func() Permits          // permits for the next tick; may be nil
 }
 
 type timedLogEvent struct {
@@ -55,6 +59,30 @@
 	LogEvent
 }
 
+// simClock is the simulated time and its events, which several groups may share.
+type simClock struct {
+	now    time.Time
+	events eventQueue
+}
+
+// simProcess is a process that may be stalled, that is, get no processor for a while, or be dead.
+type simProcess struct {
+	*simClock
+	stalledUntil time.Time
+	dead         bool
+}
+
+// do runs f as soon as the process is not stalled, in order, and never if it is dead.
+func (p *simProcess) do(f func()) {
+	switch {
+	case p.dead:
+	case p.now.Before(p.stalledUntil):
+		p.after(p.stalledUntil.Sub(p.now), func() { p.do(f) })
+	default:
+		f()
+	}
+}
+
 // logDecisions logs the decisions on a job and on workers.
 func (sg *simGroup) logDecisions(id string) {
 	for _, n := range sg.logs {
@@ -149,7 +177,7 @@
 func newSimGroup(t testing.TB, seed uint64, count int) *simGroup {
 	sg := &simGroup{
 		stored: map[string]*simStored{}, cancelled: map[string]bool{}, gangs: map[string]*simGang{}, maxStoreDelay: 5, doneTasks: map[string]bool{}, acknowledged: map[string]bool{}, acknowledgedFailures: map[string]int{},
-		t: t, now: time.Unix(1_700_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		t: t, simClock: &simClock{now: time.Unix(1_700_000_000, 0)}, rand: rand.New(rand.NewPCG(seed, 1)),
 		workers: map[string]*simWorker{}, alive: map[string]int{}, started: map[string]bool{},
 		verdicts: map[SubmissionKey]Verdict{}, jobs: map[SubmissionKey]*simJob{}, knownJobs: map[string]*simJob{}, lostConns: map[uint64]bool{},
 	}
@@ -201,20 +229,21 @@
 
 const listInterval = 1500 * time.Millisecond
 
-func (sg *simGroup) after(d time.Duration, do func()) {
-	sg.events.sequence++
-	heap.Push(&sg.events, simEvent{sg.now.Add(d), sg.events.sequence, do})
+func (c *simClock) after(d time.Duration, do func()) {
+	c.events.sequence++
+	heap.Push(&c.events, simEvent{c.now.Add(d), c.events.sequence, do})
 }
 
 // run simulates until the given time since the start.
-func (sg *simGroup) run(until time.Duration) {
-	end := sg.start.Add(until)
-	for sg.events.Len() > 0 && !sg.events.list[0].at.After(end) {
-		e := heap.Pop(&sg.events).(simEvent)
-		sg.now = e.at
+func (sg *simGroup) run(until time.Duration) { sg.runUntil(sg.start.Add(until)) }
+
+func (c *simClock) runUntil(end time.Time) {
+	for c.events.Len() > 0 && !c.events.list[0].at.After(end) {
+		e := heap.Pop(&c.events).(simEvent)
+		c.now = e.at
 		e.run()
 	}
-	sg.now = end
+	c.now = end
 }
 
 func (sg *simGroup) tick(p updater) {
@@ -223,15 +252,31 @@
 			return
 		}
 		sg.step(p, sg.list())
-		sg.step(p, Tick{})
+		tick := Tick{}
+		if sg.permits != nil {
+			tick.Permits = sg.permits()
+		}
+		sg.step(p, tick)
 		sg.tick(p)
 	})
 }
 
 func (sg *simGroup) step(p updater, m Message) {
-	for _, e := range p.Update(sg.now, m) {
-		sg.execute(p, e)
+	process := sg.processes[p]
+	if process == nil {
+		for _, e := range p.Update(sg.now, m) {
+			sg.execute(p, e)
+		}
+		return
 	}
+	process.do(func() {
+		for _, e := range p.Update(sg.now, m) {
+			if sg.onEffect != nil {
+				sg.onEffect(e)
+			}
+			process.do(func() { sg.execute(p, e) })
+		}
+	})
 }
 
 func (sg *simGroup) execute(p updater, e Effect) {
@@ -239,6 +284,9 @@
 	case StartRun:
 		sg.sendStart(p, e)
 	case StopRun:
+		if e.Order.Timeout <= 0 {
+			sg.t.Fatalf("stop order without a timeout: it is never sent")
+		}
 		sg.sendOrder(e.Order.ID, simTimeout, false,
 			func(w *simWorker) (worker.Report, error) { return sg.handleStop(w, e.Order) },
 			func(r worker.Report, err error) { sg.step(p, StopResult{Order: e.Order, Report: r, Err: err}) })
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -48,7 +48,9 @@
 	if !need.FitsIn(free) {
 		return sg.reject(w, worker.ReasonNoCapacity)
 	}
-	if sg.alive[o.Task] > 0 {
+	if sg.alive[o.Task] > 0 && sg.twoRuns != nil {
+		sg.twoRuns(o.Task)
+	} else if sg.alive[o.Task] > 0 {
 		sg.logDecisions(j.work.ID)
 		sg.t.Fatalf("%v: two runs of task %s at a time, the second on %s", sg.now.Sub(sg.start), o.Task, w.ID)
 	}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -153,12 +153,13 @@
 
 // extendLease returns the lease for an order that is sent now and records the latest time at which it can expire.
 func (s *Scheduler) extendLease(w *workerState) time.Duration {
-	lease := time.Duration(float64(s.rules.LeaseDuration) * (1 + s.rules.ClockDrift))
+	length := s.maxLease(w)
 	// The worker's clock is never behind the estimate, so the lease cannot last longer than this.
-	if until := s.now.Add(lease + leaseSlack); until.After(w.leaseExpiry) {
+	until := s.now.Add(time.Duration(float64(length)*(1+s.rules.ClockDrift)) + leaseSlack)
+	if until.After(w.leaseExpiry) {
 		w.leaseExpiry = until
 	}
-	return s.clockLowerBound(w) + s.rules.LeaseDuration
+	return s.clockLowerBound(w) + length
 }
 
 // leaseSlack covers rounding of the worker's clock to milliseconds and the time a worker takes to kill runs.
@@ -216,7 +217,7 @@
 // pollWait returns how long a poll may wait for a run to end: less if the progress of a run is due to be checked
 // earlier, or if two tries would outlast the lease because responses are slow.
 func (s *Scheduler) pollWait(w *workerState) time.Duration {
-	wait := min(s.rules.MaxPollWait, s.rules.LeaseDuration-2*s.adaptivePollMargin()-leaseMargin)
+	wait := min(s.rules.MaxPollWait, s.maxLease(w)-2*s.adaptivePollMargin()-leaseMargin)
 	for _, r := range w.runs {
 		wait = min(wait, r.checkProgressAt.Sub(s.now))
 	}
@@ -300,11 +301,10 @@
 		s.adoptRun(r.Task)
 	}
 	if w.unknownRuns > 0 {
-		// Renews the lease until the entry VMs have said which of these runs they still need.
-		w.leaseExpiry = s.now
+		// The lease is not renewed for runs that no entry VM has resumed yet: the VM of their jobs may be gone too, and
+		// its callers rely on the earlier holder's last lease.
+		w.leaseExpiry = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
 		w.probeAt = s.now
-		s.emit(PollWorker{worker.PollOrder{Target: target(w), Fence: s.fence, Lease: s.extendLease(w), Timeout: s.adaptivePollMargin()}})
-		w.polling, w.lastPollAt = true, s.now
 	}
 }
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -30,6 +30,7 @@
 type cluster struct {
 	t       testing.TB
 	dir     string
+	network string // first three bytes of the VMs' addresses
 	program string
 	keys    *standin.KVStore
 	watch   *standin.RunChecker
@@ -95,6 +96,9 @@
 	}
 	c := &cluster{t: t, dir: t.TempDir(), program: program, keys: standin.NewKVStore(), watch: standin.NewRunChecker(), silent: make([]bool, workerCount)}
 	c.watch.Stored, c.watch.Attempts = isStored, attempts
+	var reservation net.Listener
+	c.network, reservation = reserveNetwork(t)
+	t.Cleanup(func() { _ = reservation.Close() })
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	l := listen(t)
 	storeAddress := l.Addr().String()
@@ -163,7 +167,25 @@
 	}
 }
 
-func (c *cluster) host(i int) string { return fmt.Sprintf("127.0.77.%d", i+1) }
+func (c *cluster) host(i int) string { return fmt.Sprintf("%s.%d", c.network, i+1) }
+
+// maxNetworks is the number of loopback networks that runs choose from.
+const maxNetworks = 64 * 256
+
+// reserveNetwork returns the first three bytes of loopback addresses that no other run on this machine uses. The
+// listener on the last address of the network reserves it until the run ends.
+func reserveNetwork(t testing.TB) (string, net.Listener) {
+	t.Helper()
+	for try := range maxNetworks {
+		n := (os.Getpid() + try) % maxNetworks
+		network := fmt.Sprintf("127.%d.%d", 64+n/256, n%256)
+		if l, err := net.Listen("tcp4", network+".254:8161"); err == nil {
+			return network, l
+		}
+	}
+	t.Fatal("all loopback networks are in use")
+	return "", nil
+}
 
 func (c *cluster) front(i int) string { return c.host(i) + ":8161" }
 
