Let a started job keep its turn when it is late

Change: a job with started tasks counts as on time until its end would be worth nothing. This was so for jobs of several steps only.

--- a/placement/durable.go
+++ b/placement/durable.go
@@ -214,14 +214,19 @@
 		return 0
 	case !end.After(js.targetEnd):
 		return 0
-	case js.started && len(js.steps) > 1 && !end.After(js.targetEnd.Add((maxLateFactor-1)*js.targetEnd.Sub(js.arrived))):
-		return 0 // the work of its first steps would be wasted behind a continuous flow of jobs that can be on time
-	case js.durable && end.After(js.targetEnd.Add((maxLateFactor-1)*js.targetEnd.Sub(js.arrived))):
+	case js.mayHaveStarted && !end.After(js.worthlessAt()):
+		return 0 // its finished tasks would be wasted behind a continuous flow of jobs that can be on time
+	case js.durable && end.After(js.worthlessAt()):
 		return 2
 	}
 	return 1
 }
 
+// worthlessAt returns the time after which the end of the job is worth nothing to its caller.
+func (js *jobState) worthlessAt() time.Time {
+	return js.targetEnd.Add((maxLateFactor - 1) * js.targetEnd.Sub(js.arrived))
+}
+
 // maxLateFactor is the multiple of the time to the target end after which the end of a job is worth nothing to its
 // caller.
 const maxLateFactor = 3
