Tell slow workers from long tasks by the observed spread of run times

A run is attributed to its worker if it is too slow even for the slowest jobs, or if runs of several jobs are slow there and none is of usual speed (p-values combined by Fisher's method, below 1 in 10,000). Replaces StragglerFactor.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -55,10 +55,11 @@
 	}
 	t.phase = taskAssigned
 	js.queuedTasks--
-	expected := time.Duration(float64(s.expectedDuration(js, i)) * f.worker.health.slowdown)
+	sound := s.expectedDuration(js, i)
+	expected := time.Duration(float64(sound) * f.worker.health.slowdown)
 	r := &run{
 		taskName: name, job: js, step: i, index: j, number: f.number, worker: f.worker, need: js.work.Steps[i].Need,
-		sent: s.now, confirmed: s.now, expected: expected, checkProgressAt: s.now.Add(expected), unmeasured: true,
+		sent: s.now, confirmed: s.now, expected: expected, sound: sound, checkProgressAt: s.now.Add(expected), unmeasured: true,
 	}
 	f.worker.runs[name] = r
 	f.worker.unknownRuns = max(f.worker.unknownRuns-1, 0)
--- a/placement/health.go
+++ b/placement/health.go
@@ -12,6 +12,11 @@
 	ejectedUntil time.Time
 	ejectionTime time.Duration
 	halfOpen     bool // the worker gets one run at a time until one is good
+
+	// Slow runs that have ended since the last run of usual speed, one for each job.
+	slowProduct float64 // product of their p-values
+	slowJobs    int
+	lastSlowJob *jobState
 }
 
 const (
@@ -32,6 +37,15 @@
 	minProjectableProgress = 5
 	// maxMoves limits how often one task is moved away from slow workers.
 	maxMoves = 2
+	// slowSignificance is the p-value below which slow runs are attributed to their worker: about one false alarm in
+	// 10,000 runs.
+	slowSignificance = 1e-4
+	// trialSignificance is the same for the trial run of a worker that was ejected before.
+	trialSignificance = 0.05
+	// usualPValue is the p-value from which on a run is of usual speed.
+	usualPValue = 0.2
+	// usualProgress is the progress in percent from which on a running run can be of usual speed.
+	usualProgress = 20
 )
 
 // recordBadRun counts a bad run and ejects the worker after several in a row, for a time that doubles with each
@@ -83,6 +97,7 @@
 	if sound <= 0 {
 		return
 	}
+	s.recordRatio(r, took)
 	ratio := min(max(float64(took)/sound, minSlowdown), maxSlowdown)
 	h.slowdown += ewmaWeight * (ratio - h.slowdown)
 	key := r.job.policy.Route
@@ -115,11 +130,15 @@
 		r.checkDeferred, r.checkProgressAt = true, s.now.Add(s.rules.MinPollWait) // waits until the other tasks are listed
 		return
 	}
-	elapsed := clock - r.baseClock
+	elapsed, made := clock-r.baseClock, r.progress-r.baseProgress
 	sound := max(s.maxExpectedDuration(r.job, r.step), others)
-	total := elapsed * time.Duration(100-r.baseProgress) / time.Duration(max(r.progress-r.baseProgress, 1))
+	total := elapsed * time.Duration(100-r.baseProgress) / time.Duration(max(made, 1))
 	r.checkProgressAt = s.now.Add(max(sound/4, s.rules.MinPollWait))
-	slow := float64(total) > s.rules.StragglerFactor*float64(sound) && total-elapsed >= sound+sound/4+s.rules.StallGrace
+	// Progress is rounded down to whole percents, so that the run takes at least this long.
+	atLeast := elapsed * time.Duration(100-r.baseProgress) / time.Duration(made+1)
+	r.pValue = s.slowPValue(r, atLeast, others)
+	r.usual = made >= usualProgress && r.pValue >= usualPValue
+	slow := s.workerIsSlow(r) && total-elapsed >= sound+sound/4+s.rules.StallGrace
 	// A job with a deadline ends by it. A durable one would wait for ever for a run that reports progress but never
 	// ends.
 	hangs := r.job.durable && elapsed > hangFactor*s.maxExpectedDuration(r.job, r.step)+hangMargin
@@ -142,6 +161,59 @@
 	s.stopRun(r)
 }
 
+// slowPValue returns the probability that a run on a sound worker takes the given time or longer. It compares the run
+// with the other tasks of its step, whose median is given, or with the expected time if that is unknown.
+func (s *Scheduler) slowPValue(r *run, total, others time.Duration) float64 {
+	if others > 0 {
+		return s.siblingRatios.tail(float64(total) / float64(others))
+	}
+	return s.runRatios.tail(float64(total) / float64(max(r.sound, 1)))
+}
+
+// workerIsSlow reports whether the worker of a slow run makes it slow: if the run is too slow even for the slowest
+// jobs, or if runs of several jobs are slow there and none is of usual speed.
+func (s *Scheduler) workerIsSlow(r *run) bool {
+	h := &r.worker.health
+	switch {
+	case r.pValue >= usualPValue:
+		return false
+	case h.halfOpen && r.pValue < trialSignificance:
+		return true
+	}
+	product, jobs := r.pValue, map[*jobState]bool{r.job: true}
+	for _, o := range r.worker.runs {
+		if o.usual && o.job != r.job {
+			return r.pValue < slowSignificance
+		}
+		if o.pValue > 0 && o.pValue < usualPValue && !jobs[o.job] {
+			jobs[o.job] = true
+			product *= o.pValue
+		}
+	}
+	count := len(jobs)
+	if h.slowJobs > 0 {
+		product, count = product*h.slowProduct, count+h.slowJobs
+	}
+	return combinedPValue(product, count) < slowSignificance
+}
+
+// recordRatio records the run time of a run that is done, and whether its worker was slow.
+func (s *Scheduler) recordRatio(r *run, took time.Duration) {
+	h := &r.worker.health
+	others, _ := s.siblingMedianDuration(r)
+	p := s.slowPValue(r, took, others)
+	switch {
+	case p >= usualPValue:
+		h.slowProduct, h.slowJobs, h.lastSlowJob = 1, 0, nil
+	case h.lastSlowJob != r.job:
+		h.slowProduct, h.slowJobs, h.lastSlowJob = h.slowProduct*p, h.slowJobs+1, r.job
+	}
+	s.runRatios.record(float64(took) / float64(max(r.sound, 1)))
+	if others > 0 {
+		s.siblingRatios.record(float64(took) / float64(others))
+	}
+}
+
 // siblingMedianDuration returns the median run time of the other tasks of the step, from their ends and from their
 // progress on other workers, or 0 if nothing is known, and whether some still run there. Where all tasks of a job take
 // longer than declared, the declared time is wrong and no worker is slow.
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -19,7 +19,6 @@
 	Quarantine          time.Duration // first ejection of a failing worker; doubles with each ejection
 	MaxQuarantine       time.Duration // max time of an ejection
 	StallQuarantine     time.Duration // first ejection after a run without progress; each trial run delays a job
-	StragglerFactor     float64       // a run that takes this many times its expected time is moved
 	StallGrace          time.Duration // added to the expected time before the progress of a run is checked
 	MaxRetryAfter       time.Duration // max time after which a refused caller may retry
 	MinRetryAfter       time.Duration // min time after which a refused caller may retry
@@ -44,7 +43,6 @@
 		Quarantine:          time.Second,
 		MaxQuarantine:       6 * time.Second,
 		StallQuarantine:     3 * time.Second,
-		StragglerFactor:     3,
 		StallGrace:          100 * time.Millisecond,
 		MaxRetryAfter:       5 * time.Second,
 		MinRetryAfter:       100 * time.Millisecond,
--- a/placement/run.go
+++ b/placement/run.go
@@ -20,6 +20,9 @@
 	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it
 	tries           int
 	expected        time.Duration
+	sound           time.Duration // expected run time on a sound worker
+	pValue          float64       // probability that a run on a sound worker is as slow; 0 while unknown
+	usual           bool          // the run is of usual speed so far
 	baseClock       time.Duration // worker's clock when the start was answered or the run was first listed; zero before
 	baseProgress    int           // progress at baseClock
 	progress        int
@@ -39,10 +42,11 @@
 	t.lastRun++
 	js.queuedTasks--
 	js.mayHaveStarted = true
-	expected := time.Duration(float64(s.expectedDuration(js, i)) * w.health.slowdown)
+	sound := s.expectedDuration(js, i)
+	expected := time.Duration(float64(sound) * w.health.slowdown)
 	r := &run{
 		taskName: js.name(i, j), job: js, step: i, index: j, number: t.lastRun, worker: w,
-		need: js.work.Steps[i].Need, sent: s.now, expected: expected,
+		need: js.work.Steps[i].Need, sent: s.now, expected: expected, sound: sound,
 	}
 	r.checkProgressAt = s.now.Add(time.Duration(float64(expected)*progressCheckFactor) + s.rules.StallGrace)
 	w.runs[r.taskName] = r
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -34,6 +34,8 @@
 	runs            map[string]*run        // runs that may still be running, by task
 	orphans         map[string]orphanedRun // orphaned runs, by task
 	routeDurations  map[string]float64
+	runRatios       ratioDistribution // of run times to the expected ones
+	siblingRatios   ratioDistribution // of run times to those of the other tasks of the step
 	startRTT        rttEstimator
 	permits         Permits
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
@@ -62,6 +64,8 @@
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
 		permits:         Permits{},
+		runRatios:       newRatioDistribution(),
+		siblingRatios:   newRatioDistribution(),
 	}
 	for _, id := range config.LongRunningJobs {
 		s.longRunningJobs[id] = true
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -72,7 +72,7 @@
 }
 
 func newWorkerState(w worker.Worker) *workerState {
-	return &workerState{Worker: w, incarnation: w.Incarnation, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1}}
+	return &workerState{Worker: w, incarnation: w.Incarnation, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1, slowProduct: 1}}
 }
 
 func (s *Scheduler) sortWorkers() {
