Expect run times by a regression over the route's jobs

Hypothesis: a fixed geometric mean of the declared time and a moving average over tasks follows single wide jobs (eight tasks of a long job move the average by half), and weighs declared times alike whether they are good or rough. Change: a linear regression of logarithms over the route's recent jobs, one observation a job; its slope follows how good declarations are. One run adds at most 2 to a worker's average slowdown.

--- a/placement/health.go
+++ b/placement/health.go
@@ -20,11 +20,13 @@
 }
 
 const (
-	// ewmaWeight is the weight of one run in the moving averages of a worker's slowdown and a route's run time.
+	// ewmaWeight is the weight of one run in the moving average of a worker's slowdown.
 	ewmaWeight = 0.1
-	// maxSlowdown limits the learned slowdown, so that one extreme run does not keep a worker without work for long.
+	// minSlowdown and maxRunSlowdown limit what one run adds to that average, since long tasks are no slow workers.
+	minSlowdown    = 0.5
+	maxRunSlowdown = 2
+	// maxSlowdown limits the slowdown of an ejected worker, so that it is not kept without work for long.
 	maxSlowdown = 8
-	minSlowdown = 0.5
 	// progressCheckFactor is the share of the expected time after which the progress of a run indicates its speed.
 	progressCheckFactor = 0.2
 	// ejectionThreshold is the number of consecutive bad runs; 0.2% of all runs fail because of their tasks.
@@ -98,14 +100,18 @@
 		return
 	}
 	s.recordRatio(r, took)
-	ratio := min(max(float64(took)/sound, minSlowdown), maxSlowdown)
+	ratio := min(max(float64(took)/sound, minSlowdown), maxRunSlowdown)
 	h.slowdown += ewmaWeight * (ratio - h.slowdown)
-	key := r.job.policy.Route
-	length := float64(took) / h.slowdown
-	if known, ok := s.routeDurations[key]; ok {
-		length = known + ewmaWeight*(length-known)
+	if r.job.observed {
+		return // tasks of a job take about the same time, so that a wide job counts once
 	}
-	s.routeDurations[key] = length
+	r.job.observed = true
+	model := s.durations[r.job.policy.Route]
+	if model == nil {
+		model = &durationModel{}
+		s.durations[r.job.policy.Route] = model
+	}
+	model.observe(r.job.work.Steps[r.step].Estimate, time.Duration(float64(took)/h.slowdown))
 }
 
 // checkProgress checks the progress of a running task and moves the task if it would end sooner on another worker.
@@ -239,11 +245,11 @@
 
 // maxExpectedDuration returns the longest run time to expect on a healthy worker, because declared times are rough.
 func (s *Scheduler) maxExpectedDuration(js *jobState, step int) time.Duration {
-	known, ok := s.routeDurations[js.policy.Route]
-	if !ok {
+	model := s.durations[js.policy.Route]
+	if model == nil {
 		return 2 * js.work.Steps[step].Estimate
 	}
-	return max(s.expectedDuration(js, step), js.work.Steps[step].Estimate, time.Duration(known))
+	return max(s.expectedDuration(js, step), js.work.Steps[step].Estimate, model.usual())
 }
 
 // longRunningEstimate is the run time assumed for a long-running task, whose room is not expected to become free.
@@ -254,10 +260,10 @@
 	if js.work.Steps[step].Lasting {
 		return longRunningEstimate
 	}
-	declared := float64(js.work.Steps[step].Estimate)
-	known, ok := s.routeDurations[js.policy.Route]
-	if !ok || len(js.work.Steps) > 1 {
-		return time.Duration(declared)
+	declared := js.work.Steps[step].Estimate
+	model := s.durations[js.policy.Route]
+	if model == nil || len(js.work.Steps) > 1 {
+		return declared
 	}
-	return time.Duration(geometricMean(declared, known))
+	return model.predict(declared)
 }
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -25,6 +25,7 @@
 	inQueue        bool
 	closed         bool // answered; its remaining runs are being stopped
 	closedAt       time.Time
+	observed       bool // a run time of the job was learned
 	rank           float64
 	lateness       int           // result of Scheduler.lateness at the last placement
 	specMissing    bool          // only the sender knows the spec
--- a/placement/order.go
+++ b/placement/order.go
@@ -1,22 +1,12 @@
 package placement
 
 import (
-	"math"
 	"sort"
 	"time"
 
 	"samphireplank.example/samphireplank/worker"
 )
 
-// geometricMean returns the geometric mean of a and b, or b if a is not positive. It suits estimates whose errors are
-// factors of about the same spread.
-func geometricMean(a, b float64) float64 {
-	if a <= 0 {
-		return b
-	}
-	return math.Sqrt(a * b)
-}
-
 // computeRank returns the sort key of a job: by priority first, then by the latest end that is still on time.
 func (s *Scheduler) computeRank(js *jobState) float64 {
 	const priorityStep = 1e15 // exceeds any time in nanoseconds since the scheduler's first update
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -30,12 +30,12 @@
 	sortedWorkers   []*workerState // sorted by id, so that equal inputs give equal effects
 	submissions     map[SubmissionKey]*jobState
 	jobs            map[string]*jobState
-	queue           []*jobState            // jobs with queued tasks, by rank unless unsorted
-	runs            map[string]*run        // runs that may still be running, by task
-	orphans         map[string]orphanedRun // orphaned runs, by task
-	routeDurations  map[string]float64
-	runRatios       ratioDistribution // of run times to the expected ones
-	siblingRatios   ratioDistribution // of run times to those of the other tasks of the step
+	queue           []*jobState               // jobs with queued tasks, by rank unless unsorted
+	runs            map[string]*run           // runs that may still be running, by task
+	orphans         map[string]orphanedRun    // orphaned runs, by task
+	durations       map[string]*durationModel // by route
+	runRatios       ratioDistribution         // of run times to the expected ones
+	siblingRatios   ratioDistribution         // of run times to those of the other tasks of the step
 	startRTT        rttEstimator
 	permits         Permits
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
@@ -59,7 +59,7 @@
 		jobs:            map[string]*jobState{},
 		runs:            map[string]*run{},
 		orphans:         map[string]orphanedRun{},
-		routeDurations:  map[string]float64{},
+		durations:       map[string]*durationModel{},
 		durableJobs:     map[string]*jobState{},
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
