--- a/cmd/samphireplank/command.go
+++ b/cmd/samphireplank/command.go
@@ -51,6 +51,7 @@
 		{"serve", "Run a VM on the users' platform", serveHelp, &serveCommand{}},
 		{"entry", "Run an entry VM", entryHelp, &entryCommand{}},
 		{"demo", "Run everything in one process and show a report", demoHelp, &demoCommand{}},
+		{"losses", "Show from logs where requests were lost", lossesHelp, &lossesCommand{}},
 		{"load", "Generate load and report", loadHelp, &loadCommand{}},
 	}
 }
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -27,11 +27,8 @@
 	}
 	late := s.now.Add(wait + time.Duration(durationMargin*float64(s.criticalPath(js)))).Sub(js.targetEnd)
 	if late > 0 && !s.canStartNow(js) {
-		v := s.refusal("the job would not end on time", late)
-		s.logEvent("job-refused", js.work.ID, "", "would not end on time", map[string]int64{
-			"predicted-ms": ms(wait), "late-ms": ms(late), "priority": int64(js.policy.Priority), "queued": int64(len(s.queue)),
-		})
-		return v, false
+		s.logRefusal(js, "would not end on time", map[string]int64{"predicted-ms": ms(wait), "late-ms": ms(late)})
+		return s.refusal("the job would not end on time", late), false
 	}
 	return nil, true
 }
@@ -65,6 +62,27 @@
 	return room >= 1 && (!js.isGang(i) || room >= len(js.steps[i].tasks))
 }
 
+// logRefusal logs a refusal for lack of time, and the room that the group has for tasks of that size.
+func (s *Scheduler) logRefusal(js *jobState, reason string, values map[string]int64) {
+	values["priority"], values["queued"] = int64(js.policy.Priority), int64(len(s.queue))
+	if len(js.work.Steps) > 0 {
+		values["tasks"] = int64(js.work.Steps[0].Count)
+		for _, w := range s.sortedWorkers {
+			kind := "room"
+			switch {
+			case w.Service != js.policy.Service:
+				continue
+			case !s.usable(w):
+				kind = "unusable-room"
+			case !s.acceptsWork(w):
+				kind = "ejected-room"
+			}
+			values[kind] += int64(tasksThatFit(w.free, js.work.Steps[0].Need))
+		}
+	}
+	s.logEvent("job-refused", js.work.ID, "", reason, values)
+}
+
 func (s *Scheduler) refusal(reason string, wait time.Duration) NotRun {
 	return NotRun{Reason: reason, RetryAfter: min(max(wait, s.rules.MinRetryAfter), s.rules.MaxRetryAfter)}
 }
--- a/placement/order.go
+++ b/placement/order.go
@@ -61,6 +61,7 @@
 
 func (s *Scheduler) placeJob(js *jobState, reserved map[*workerState]time.Time) {
 	if !js.durable && !js.mayHaveStarted && s.now.Add(time.Duration(lateCutoffFactor*float64(s.criticalPath(js)))).After(js.targetEnd) {
+		s.logRefusal(js, "can no longer end on time", map[string]int64{"waited-ms": ms(s.now.Sub(js.arrived)), "late-ms": ms(s.now.Add(s.criticalPath(js)).Sub(js.targetEnd))})
 		s.closeJob(js, s.refusal("the job can no longer end on time", s.queueDelay(js.policy.Priority)))
 		return
 	}
