Do not pass on progress that a lost holder has outdated

Cause: a holder that hands a job over reports its progress, and with it that a task is queued. The VM of the job passes that on to the next holder, which starts the task. When this holder is lost without a report, the VM passed the first report on to the third holder, which took it for the truth, did not wait for the workers' lists or the leases, and started the task again.

Change: after a loss the progress says of each task that is not done that it may be running on any worker. What is done, failed and saved stays.

Failed before: TestLostHolderLeavesOutdatedProgress, TestThirdHolderStartsATaskOfTheLostSecond (two runs at 600.9 ms).

--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -189,7 +189,7 @@
 	case now.After(r.deadline):
 		return r.timeoutReply()
 	}
-	r.loseHolder(r.progress)
+	r.loseHolder(r.progress.WithUnknownRuns())
 	return nil
 }
 
--- a/gateway/submission_test.go
+++ b/gateway/submission_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireplank.example/samphireplank/peer"
+	"samphireplank.example/samphireplank/placement"
 )
 
 // Guards against a REFUSED job that its holder had run (clt-cues, holders-without-store, seed 1002311048535): a VM that
@@ -66,3 +67,14 @@
 		is.True(!r.runsMayBeLeft())
 	})
 }
+
+// Guards against tasks that the next holder starts at once, because the lost holder's predecessor has reported that they
+// were queued.
+func TestLostHolderLeavesOutdatedProgress(t *testing.T) {
+	is := is.New(t)
+	r := &request{deadline: time.Now().Add(time.Minute)}
+	r.loseHolder(placement.Progress{Done: [][]bool{{true, false}}, On: [][]string{{"", ""}}})
+	_ = r.handleNoVerdict(t.Context(), time.Now())
+	is.Equal(r.progress.Done, [][]bool{{true, false}})
+	is.True(r.progress.On[0][0] == "" && r.progress.On[0][1] != "") // the second task may be running
+}
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/worker"
 )
 
 // Guards against a second run of a task when a group changes its holder twice in quick succession: the second holder
@@ -36,3 +39,34 @@
 	last := sg.jobs[SubmissionKey{Sequence: simSequence}]
 	is.True(!last.ended.IsZero())
 }
+
+// Guards against a task that the third holder starts beside the run of the second one, which was lost: the first holder
+// had reported that the task was queued.
+func TestThirdHolderStartsATaskOfTheLostSecond(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 3) // room for four tasks
+	h := &history{simGroup: sg}
+	sg.run(20 * time.Millisecond)
+	for _, id := range []string{"00000000000000b1", "00000000000000b2", "00000000000000b3"} {
+		sg.submitOneTask(id, 300*time.Millisecond, false)
+	}
+	simSequence++
+	w := job.Work{ID: "00000000000000aa", Steps: []job.Step{{Count: 2, Estimate: time.Second, Need: worker.Resources{MilliCores: 40000}}}}
+	key := SubmissionKey{Sequence: simSequence}
+	sg.submitWork(key, w, grain, 1500*time.Millisecond, false, Progress{})
+	j := sg.jobs[key]
+	sg.run(100 * time.Millisecond)
+	sg.step(sg.scheduler, HandOver{})
+	progress := sg.verdicts[key].(HandedOver).Progress // the first task runs, the second one is queued
+	sg.replaceScheduler()                              // it stops the runs of the other jobs, which are not resumed
+	h.resubmit(j, progress)
+	sg.run(600 * time.Millisecond)
+	for _, w := range sg.workers {
+		w.unreachable = w.runs["00000000000000aa.0.0.1"] != nil
+	}
+	is.Equal(sg.alive["00000000000000aa.0.0.1"], 1)
+	sg.replaceScheduler()
+	h.resubmit(j, progress.WithUnknownRuns())
+	sg.run(5 * time.Second) // simGroup fails the test if a task runs twice at a time
+	is.True(!sg.jobs[SubmissionKey{Sequence: simSequence}].ended.IsZero())
+}
--- a/placement/message.go
+++ b/placement/message.go
@@ -57,6 +57,25 @@
 // known reports whether the earlier holder has sent the progress.
 func (p Progress) known() bool { return len(p.Done) > 0 }
 
+// WithUnknownRuns returns the progress of a job that another holder had since, of which only that is known: any task that
+// is not done may be running.
+func (p Progress) WithUnknownRuns() Progress {
+	if !p.known() {
+		return p
+	}
+	on := make([][]string, len(p.Done))
+	for i, done := range p.Done {
+		on[i] = make([]string, len(done))
+		for j := range done {
+			if !done[j] {
+				on[i][j] = anyWorker
+			}
+		}
+	}
+	p.On = on
+	return p
+}
+
 // Withdraw ends a submission whose caller no longer waits.
 type Withdraw struct {
 	Key    SubmissionKey
