Let tasks of later steps wait for runs of the earlier holder too

Jobs of several steps are affected.

Cause: a holder that continues a job lets its tasks wait until all workers have listed their runs or the earlier leases have expired, but only the tasks that are queued at that moment. When an adopted run ends the earlier step, a task of the later one started at once, beside its run on a worker that had not answered yet.

Change: all tasks that are not done wait, and unknown workers count as any worker.

Failed before: TestNextHolderStartsALaterStepAgain (two runs at 200.9 ms).

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -23,7 +23,7 @@
 		for j := range js.steps[i].tasks {
 			s.adoptRun(js.name(i, j))
 			t := &js.steps[i].tasks[j]
-			if resumed && t.phase == taskQueued && (!progress.known() || t.priorRunWorker != "") {
+			if resumed && t.phase != taskDone && (!progress.known() || progress.On == nil || t.priorRunWorker != "") {
 				// The earlier holder may just have renewed the lease of a worker that is still unreachable.
 				t.priorRunUntil = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
 			}
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -70,3 +70,38 @@
 	sg.run(5 * time.Second) // simGroup fails the test if a task runs twice at a time
 	is.True(!sg.jobs[SubmissionKey{Sequence: simSequence}].ended.IsZero())
 }
+
+// Guards against a second run of a task of a later step: when the next holder learns that the earlier step is done, the
+// worker of that task may still be unreachable.
+func TestNextHolderStartsALaterStepAgain(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	h := &history{simGroup: sg}
+	sg.run(20 * time.Millisecond)
+	simSequence++
+	w := job.Work{ID: "00000000000000aa", Steps: []job.Step{
+		{Count: 1, Estimate: 100 * time.Millisecond, Need: worker.Resources{MilliCores: 40000}},
+		{Count: 1, Estimate: 100 * time.Millisecond, Need: worker.Resources{MilliCores: 40000}, After: []int{0}},
+	}}
+	key := SubmissionKey{Sequence: simSequence}
+	sg.submitWork(key, w, grain, 100*time.Millisecond, false, Progress{})
+	sg.run(100 * time.Millisecond)
+	setProgress := func(none bool) {
+		for _, w := range sg.workers {
+			w.noProgress = none
+		}
+	}
+	setProgress(true) // the run of the second step lasts until the lease expires
+	sg.run(200 * time.Millisecond)
+	is.Equal(sg.alive["00000000000000aa.0.1.0"], 1)
+	setProgress(false)
+	for _, w := range sg.workers {
+		w.unreachable = len(w.runs) > 0
+	}
+	j := sg.jobs[key]
+	delete(sg.jobs, key)
+	sg.replaceScheduler()
+	h.resubmit(j, Progress{})
+	sg.run(5 * time.Second) // simGroup fails the test if a task runs twice at a time
+	is.True(!sg.jobs[SubmissionKey{Sequence: simSequence}].ended.IsZero())
+}
