Drop the scheduler of a group that another VM has held in between

Cause: a VM that claims a group back from another holder kept its scheduler and raised its fence. The scheduler takes its workers for synchronized and its jobs for its own, but the other holder may have started runs of them. A VM of which the others hear nothing for 0.6 to 0.75 s, in two stalls that are each too short to count as a pause, comes into that position when it has lost its connection to the new holder.

Change: the record of another holder with a higher fence ends the scheduler before anything else is decided; its jobs are handed over and a new scheduler reads all workers. The fence is raised only for a group that was held without the store.

--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -78,6 +78,11 @@
 		g.mu.Lock()
 		d := g.drivers[group]
 		g.mu.Unlock()
+		if d != nil && !g.isOwnRecord(record) && record.revision*fencesPerRevision > d.currentFence() {
+			// What this VM knows of the runs is outdated from now on, even if it claims the group again.
+			g.releaseGroup(ctx, d)
+			d = nil
+		}
 		if d != nil && d.unconfirmed() && d.currentFence() > record.revision*fencesPerRevision {
 			// This VM already holds the group without the store, which only has to record it.
 			g.claimGroup(ctx, group, record, "held without the store")
@@ -91,13 +96,15 @@
 				g.claimGroup(ctx, group, record, a.Reason)
 			}
 		case claim.Skip:
-			if d != nil && record.revision*fencesPerRevision > d.currentFence() {
-				g.releaseGroup(ctx, d)
-			}
 		}
 	}
 }
 
+// isOwnRecord reports whether a record names this incarnation of this VM as the holder.
+func (g *Gateway) isOwnRecord(r holderRecord) bool {
+	return r.VM == g.settings.VM && r.Incarnation == g.self.Incarnation
+}
+
 // heldElsewhere reports whether a reachable VM certainly holds a group, so that there is nothing to decide.
 func (g *Gateway) heldElsewhere(group string) bool {
 	g.cache.mu.Lock()
@@ -250,8 +257,12 @@
 		}
 	case d == nil:
 		g.startDriver(ctx, group, fence, false)
-	case d.currentFence() < fence:
+	case d.unconfirmed() && d.currentFence() < fence:
 		d.raiseFence(ctx, fence)
+	case d.currentFence() < fence:
+		// Another VM may have held the group between the two records.
+		g.releaseGroup(ctx, d)
+		g.startDriver(ctx, group, fence, false)
 	}
 }
 
