Start no run on a worker whose lease outlasts the job's permit

Cause: a lease holds for everything that runs on a worker and is never shortened. The lease in each order is limited by the permits of the jobs that run there, but not by that of a job that starts there later. So a run could outlive its permit by 1 s instead of 0.4 s. When the VM of the job is gone without a sign, its holder stalls, and the caller is back after 1.3 s, the task runs twice. Besides, a tick could take back a permit that a submission had extended after the tick's copy was made, and a connection whose messages return no clock reading (an earlier version) needed no permit at all.

Change: such a worker is passed over until a message has extended the permit. Leases are 0.1 s shorter than the maximum, so that this is rare between two heartbeats (150 ms). The leases of the earlier holder count too. Ticks only extend permits; messages without a reading count from their arrival.

Failed before: TestLeaseOfAnotherJobOutlivesPermit.

--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -13,12 +13,13 @@
 const permitDuration = peer.ReadTimeout + reconnectGrace
 
 // extendPermit extends the permit of an inbound connection by a message that has just arrived, and returns its end. The
-// echo is the reading of this VM's clock that the message returns; without it the connection needs no permit.
+// echo is the reading of this VM's clock that the message returns; the messages of earlier versions return none, and count
+// from their arrival.
 func (g *Gateway) extendPermit(connID uint64, echo time.Duration) time.Time {
-	if echo == 0 {
-		return time.Time{}
+	until := time.Now().Add(permitDuration)
+	if echo != 0 {
+		until = until.Add(-max(bootClock()-echo, 0))
 	}
-	until := time.Now().Add(permitDuration - max(bootClock()-echo, 0))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if until.After(g.permits[connID]) {
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -271,6 +271,7 @@
 			s.withdraw(Withdraw{Key: k, Reason: "connection to the entry VM closed"})
 		}
 	}
+	delete(s.permits, conn)
 }
 
 // closeJob answers a job and stops its remaining runs.
--- a/placement/message.go
+++ b/placement/message.go
@@ -130,8 +130,7 @@
 
 // Tick advances the time. It is sent at regular intervals.
 type Tick struct {
-	// Permits holds, by connection, until when the holder may act on submissions; later messages of the submitting VM
-	// extend it. Nil leaves the known permits as they are.
+	// Permits holds, by connection, until when the holder may act on submissions. It only extends the known permits.
 	Permits Permits
 }
 
--- a/placement/order.go
+++ b/placement/order.go
@@ -146,7 +146,7 @@
 	var best *workerState
 	var bestCost float64
 	for _, w := range s.sortedWorkers {
-		if !s.acceptsWork(w) || !spec.Need.FitsIn(w.free) || !s.allowed(js, i, w) {
+		if !s.acceptsWork(w) || !spec.Need.FitsIn(w.free) || !s.allowed(js, i, w) || s.leaseOutlastsPermit(js, w) {
 			continue
 		}
 		length := time.Duration(float64(s.expectedDuration(js, i)) * w.health.slowdown)
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"sort"
 	"time"
 )
@@ -23,10 +22,7 @@
 // grantPermit records the permit of a submission's connection. It refuses a submission that arrives after its permit
 // has expired and returns false.
 func (s *Scheduler) grantPermit(m Submit) bool {
-	if m.PermitUntil.After(s.permits[m.Key.Conn]) {
-		s.permits = maps.Clone(s.permits) // the sender of the map may use it too
-		s.permits[m.Key.Conn] = m.PermitUntil
-	}
+	s.extendPermit(m.Key.Conn, m.PermitUntil)
 	if m.Durable || s.now.Before(m.PermitUntil) {
 		return true
 	}
@@ -39,6 +35,13 @@
 	return false
 }
 
+// extendPermit extends the permit of a connection. A tick may carry permits that are older than a submission's.
+func (s *Scheduler) extendPermit(conn uint64, until time.Time) {
+	if until.After(s.permits[conn]) {
+		s.permits[conn] = until
+	}
+}
+
 // permit returns until when the holder may act on the job; false means that there is no limit.
 func (s *Scheduler) permit(js *jobState) (until time.Time, limited bool) {
 	if js.durable {
@@ -80,9 +83,13 @@
 	}
 }
 
+// leaseReserve keeps leases shorter than the maximum, so that between two heartbeats of a VM its jobs still start on workers
+// whose lease was just renewed, see leaseOutlastsPermit.
+const leaseReserve = 100 * time.Millisecond
+
 // maxLease returns the longest lease to grant to a worker now.
 func (s *Scheduler) maxLease(w *workerState) time.Duration {
-	length := s.rules.LeaseDuration
+	length := s.rules.LeaseDuration - leaseReserve
 	if w.unknownRuns > 0 && !s.mustKeepLease(w) {
 		return 0 // see syncWorker
 	}
@@ -93,3 +100,15 @@
 	}
 	return max(length, 0)
 }
+
+// leaseOutlastsPermit reports whether runs on the worker may outlast the permit of the job by more than PermitLease. A
+// lease that was granted for other jobs can't be shortened.
+func (s *Scheduler) leaseOutlastsPermit(js *jobState, w *workerState) bool {
+	until, limited := s.permit(js)
+	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()))
+}
+
+// leaseError is the maximum time by which a lease lasts longer than its nominal length.
+func (s *Scheduler) leaseError() time.Duration {
+	return time.Duration(s.rules.ClockDrift*float64(s.rules.LeaseDuration)) + leaseSlack
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -169,8 +169,8 @@
 // tick handles what is due by time alone: expired leases and permits, unlisted workers, draining workers and orphaned
 // runs.
 func (s *Scheduler) tick(m Tick) {
-	if m.Permits != nil {
-		s.permits = m.Permits
+	for conn, until := range m.Permits {
+		s.extendPermit(conn, until)
 	}
 	s.releaseExpired()
 	for _, w := range s.sortedWorkers {
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -300,10 +300,10 @@
 		s.orphans[r.Task] = orphanedRun{worker: w, number: r.Number, until: until}
 		s.adoptRun(r.Task)
 	}
+	w.leaseExpiry = s.now.Add(s.rules.LeaseDuration + s.leaseError()) // granted by the earlier holder
 	if w.unknownRuns > 0 {
 		// The lease is not renewed for runs that no entry VM has resumed yet: the VM of their jobs may be gone too, and
 		// its callers rely on the earlier holder's last lease.
-		w.leaseExpiry = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
 		w.probeAt = s.now
 	}
 }
