Let permits and the waits that follow them meet

Cause: callers are back 1.3 s after their VM fell silent. A permit of 0.85 s, 0.4 s of lease, 2% drift of the worker's clock, 1% between VMs and 50 ms until a worker has killed a run come to 1.33 s, and leave nothing for a worker on a busy machine. The next holder waited 1.04 s for runs on workers that it can't reach, though the lost one may renew their leases for 0.85 s more.

Change: permits last 0.75 s (the jobs of a lost connection are kept for 0.25 s in place of 0.35 s), which leaves 0.07 s beyond the errors; the next holder waits 1.29 s when the earlier one was lost and not when it handed the job over.

Failed before: TestRunsOutlastReturnOfCallers, TestNextHolderStartsWhileLostHolderMayAct. The durations of TestStalledProcesses follow the gateway's.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,8 +126,9 @@
 	return err
 }
 
-// resendMargin covers the drift of the clocks that measure permits and leases, and the time a worker takes to kill a run.
-const resendMargin = 40 * time.Millisecond
+// resendMargin covers the drift of the clocks that measure permits and leases, the time a worker takes to kill a run, and
+// workers that do so late because their machine is busy.
+const resendMargin = 140 * time.Millisecond
 
 // taskShutdownTimeout limits the wait for background work at shutdown. A pending call of the store cannot be
 // interrupted, and nothing depends on its result any more.
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -286,7 +286,7 @@
 
 func (g *Gateway) startDriver(ctx context.Context, group string, fence int64, unconfirmed bool) {
 	rules := g.config.PlacementRules
-	rules.LeaseDuration = g.settings.LeaseDuration
+	rules.LeaseDuration, rules.LostHolderTimeout = g.settings.LeaseDuration, orphanedRunTimeout
 	config := placement.Config{Fence: fence, Rules: rules, IncompleteList: g.cache.workerListIncomplete(rules.RemovalGrace), Restoring: true, LongRunningJobs: g.longRunningIn(group)}
 	d := &groupDriver{
 		group: group, fence: fence, storeUnconfirmed: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -15,7 +15,7 @@
 	redialDelay = 50 * time.Millisecond
 	// reconnectGrace is how long the jobs of a lost connection are kept, for their VM to resume them. Together with
 	// peer.ReadTimeout and the time of a stop it stays below the time after which clients send a job again.
-	reconnectGrace = 350 * time.Millisecond
+	reconnectGrace = 250 * time.Millisecond
 )
 
 // firstContactTimeout is the time that a busy VM has to accept a new connection before it counts as unreachable.
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -46,7 +46,7 @@
 	// holderWait limits the wait for a holder before a job that has not started anywhere is refused.
 	holderWait = 400 * time.Millisecond
 	// orphanedRunTimeout is the time after the loss of a holder by which all its runs of this VM's jobs have ended: the
-	// permit and the leases that outlast it expire within 1.25 s.
+	// permit and the leases that outlast it expire within 1.15 s.
 	orphanedRunTimeout = permitDuration + placement.PermitLease + resendMargin
 	// replyMargin is reserved from the caller's time limit for sending the answer.
 	replyMargin = 15 * time.Millisecond
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -23,9 +23,16 @@
 		for j := range js.steps[i].tasks {
 			s.adoptRun(js.name(i, j))
 			t := &js.steps[i].tasks[j]
-			if resumed && t.phase != taskDone && (!progress.known() || progress.On == nil || t.priorRunWorker != "") {
-				// The earlier holder may just have renewed the lease of a worker that is still unreachable.
-				t.priorRunUntil = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
+			if !resumed || t.phase == taskDone {
+				continue
+			}
+			switch {
+			case !progress.known(), progress.On == nil, t.priorRunWorker == anyWorker:
+				// The earlier holder may still act, and renew the lease of a worker that is unreachable from here.
+				t.priorRunUntil = s.now.Add(s.rules.LostHolderTimeout)
+			case t.priorRunWorker != "":
+				// The earlier holder may have renewed the lease just before it handed the job over.
+				t.priorRunUntil = s.now.Add(s.rules.LeaseDuration + s.leaseError())
 			}
 		}
 	}
--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -105,3 +105,20 @@
 	sg.run(5 * time.Second) // simGroup fails the test if a task runs twice at a time
 	is.True(!sg.jobs[SubmissionKey{Sequence: simSequence}].ended.IsZero())
 }
+
+// Guards against a task that the next holder starts while the lost one, which may still act for other VMs' jobs, keeps the
+// lease of a worker that only it can reach.
+func TestNextHolderStartsWhileLostHolderMayAct(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	h := &history{simGroup: sg}
+	sg.workers["w00"].unreachable = true
+	w := job.Work{ID: "00000000000000aa", Steps: []job.Step{{Count: 1, Estimate: time.Second, Need: worker.Resources{MilliCores: 40000}}}}
+	j := &simJob{work: w, policy: job.Policy{Route: "caller", Service: "cue", Stretch: 4, Target: time.Second}, length: time.Second}
+	sg.knownJobs[w.ID] = j
+	h.resubmit(j, Progress{})
+	sg.run(1250 * time.Millisecond) // the permit of the lost holder and the lease that outlasts it: 1.15 s and their errors
+	is.Equal(sg.alive["00000000000000aa.0.0.0"], 0)
+	sg.run(1400 * time.Millisecond)
+	is.Equal(sg.alive["00000000000000aa.0.0.0"], 1)
+}
--- a/placement/stall_test.go
+++ b/placement/stall_test.go
@@ -17,9 +17,9 @@
 const (
 	simHeartbeat     = 150 * time.Millisecond
 	simReadTimeout   = 500 * time.Millisecond
-	simGrace         = 350 * time.Millisecond
+	simGrace         = 250 * time.Millisecond
 	simPermit        = simReadTimeout + simGrace
-	simOrphanTimeout = simPermit + PermitLease + 40*time.Millisecond
+	simOrphanTimeout = simPermit + PermitLease + 140*time.Millisecond
 	simResend        = 1300 * time.Millisecond
 )
 
