Refuse jobs that a later holder of the group has had

Cause: a scheduler takes the workers that it has read for read, also when another VM has held the group since. A holder without the store kept its scheduler when the store confirmed it (raiseFence), and any outdated one goes on until a worker rejects its fence. A job that comes back to it from the later holder then starts beside its runs there. Once fenced, it reported a progress that lacks those runs, and its own rejected start hid where the task ran.

Change: the VM of a job passes on the highest fence of the holders of the group that had the job; a scheduler with a lower fence does not act, and ends as fenced. A confirmed record starts a new scheduler in place of a higher fence for the old one, so RaiseFence goes. The report of a fenced holder says that any task may be running.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -178,7 +178,7 @@
 // newSubmit converts a peer's message to a message of the scheduler.
 func newSubmit(key placement.SubmissionKey, m peer.Submit) placement.Submit {
 	return placement.Submit{
-		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress, DelegatedStarts: m.Sends,
+		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress, DelegatedStarts: m.Sends, Fence: m.Fence,
 	}
 }
 
@@ -193,11 +193,3 @@
 	defer d.mu.Unlock()
 	return d.storeUnconfirmed && !d.fenced
 }
-
-// raiseFence continues under a higher fence of the same VM, which the store has confirmed.
-func (d *groupDriver) raiseFence(ctx context.Context, fence int64) {
-	d.mu.Lock()
-	d.fence, d.storeUnconfirmed = fence, false
-	d.mu.Unlock()
-	d.apply(ctx, placement.RaiseFence{Fence: fence})
-}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -257,10 +257,8 @@
 		}
 	case d == nil:
 		g.startDriver(ctx, group, fence, false)
-	case d.unconfirmed() && d.currentFence() < fence:
-		d.raiseFence(ctx, fence)
 	case d.currentFence() < fence:
-		// Another VM may have held the group between the two records.
+		// Another VM may have held the group in between, with or without a record.
 		g.releaseGroup(ctx, d)
 		g.startDriver(ctx, group, fence, false)
 	}
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -40,6 +40,9 @@
 
 	g.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "u", Incarnation: 1}, revision: 2} // u is unreachable by now
 	g.decideGroups(ctx)
+	is.True(g.driverOf("a#0") != old) // whether or not the claim succeeds
+	_, handedOver := verdict.(placement.HandedOver)
+	is.True(handedOver)
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		g.decideGroups(ctx)
 		if d := g.driverOf("a#0"); d != nil && d.currentFence() == 3*fencesPerRevision {
@@ -49,6 +52,9 @@
 	now := g.driverOf("a#0")
 	is.True(now != nil && now.currentFence() == 3*fencesPerRevision)
 	is.True(now != old)
-	_, handedOver := verdict.(placement.HandedOver)
-	is.True(handedOver)
+
+	g.cache.holders["a#0"] = holderRecord{Record: own, revision: 5} // nothing is known of the records in between
+	g.decideGroups(ctx)
+	is.True(g.driverOf("a#0") != now)
+	is.Equal(g.driverOf("a#0").currentFence(), int64(5*fencesPerRevision))
 }
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -72,9 +72,10 @@
 	resumed        bool
 	mayHaveStarted bool // a task may have started, so the job must not be refused
 	progress       placement.Progress
-	group          string    // last group to which the job was submitted
-	holderLostAt   time.Time // when the last holder that had the job was lost or handed it over
-	losses         int       // number of such holders
+	group          string           // last group to which the job was submitted
+	holderLostAt   time.Time        // when the last holder that had the job was lost or handed it over
+	losses         int              // number of such holders
+	fences         map[string]int64 // highest fence of the holders that had the job, by group
 	asked          map[string]bool
 	lastRefusal    Refused
 	pausesBefore   int // number of pauses of the process before the request
@@ -84,7 +85,7 @@
 func (g *Gateway) Submit(ctx context.Context, s Submission) Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &request{Submission: s, arrived: time.Now(), asked: map[string]bool{}}
+	r := &request{Submission: s, arrived: time.Now(), asked: map[string]bool{}, fences: map[string]int64{}}
 	r.deadline = r.arrived.Add(s.Budget - replyMargin)
 	r.lastRefusal = Refused{Reason: "no group of workers can be reached", RetryAfter: time.Second}
 	a := &activeJob{cancel: cancel, route: s.Policy.Route}
@@ -279,6 +280,7 @@
 	driver *groupDriver
 	conn   *peer.Conn
 	lost   chan struct{}
+	fence  int64
 }
 
 // holders returns the groups whose latest holder is reachable. The table is recomputed when the cache or a link
@@ -316,7 +318,8 @@
 	var best *holder
 	fence := int64(-1)
 	if d := g.drivers[group]; d != nil && !d.lostFence() {
-		best, fence = &holder{driver: d}, d.currentFence()
+		fence = d.currentFence()
+		best = &holder{driver: d, fence: fence}
 	}
 	for name, l := range g.links {
 		if l.conn == nil {
@@ -327,7 +330,7 @@
 			has = max(has, record.revision*fencesPerRevision)
 		}
 		if has > fence && has > 0 {
-			best, fence = &holder{conn: l.conn, lost: l.lost}, has
+			best, fence = &holder{conn: l.conn, lost: l.lost, fence: has}, has
 		}
 	}
 	if fence < record.revision*fencesPerRevision {
@@ -417,8 +420,9 @@
 	remaining := time.Until(r.deadline)
 	m := peer.Submit{
 		Sequence: g.nextRequest.Add(1), Group: group, Work: r.Work, Policy: r.Policy, Age: time.Since(r.arrived), Budget: remaining,
-		Resumed: r.resumed, Progress: r.progress,
+		Resumed: r.resumed, Progress: r.progress, Fence: r.fences[group],
 	}
+	r.fences[group] = max(r.fences[group], h.fence)
 	if g.shouldSendStarts(r, group, h) {
 		m.Sends, m.Work.Spec = true, ""
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -55,6 +55,7 @@
 	Progress placement.Progress
 	Sends    bool // the submitting VM sends the start orders to workers itself, so the work has no spec
 	Echo     time.Duration
+	Fence    int64 // highest fence of the holders of the group that may have acted on the job
 }
 
 // Orders asks the VM that submitted a job to send its start orders to workers.
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -135,6 +135,12 @@
 
 // submit accepts a job or refuses it at once.
 func (s *Scheduler) submit(m Submit) {
+	if m.Fence > s.fence {
+		// A later holder has acted on the job, so that the runs known here are outdated.
+		s.rejectAfterStop(m)
+		s.stopFenced("")
+		return
+	}
 	if !m.PermitUntil.IsZero() && !s.grantPermit(m) {
 		return
 	}
--- a/placement/message.go
+++ b/placement/message.go
@@ -42,6 +42,7 @@
 	Durable         bool          // the job is persisted; it has no deadline and no verdict, and Key is not used
 	DelegatedStarts bool          // the submitting VM sends the start orders, and Work has no spec
 	PermitUntil     time.Time     // initial permit of the connection, see Permits; zero if it needs none
+	Fence           int64         // highest fence of the holders of the group that may have acted on the job
 }
 
 // Progress is the known progress of a job that another holder has run.
@@ -113,9 +114,6 @@
 // WithdrawConn withdraws the submissions of a closed connection.
 type WithdrawConn struct{ Conn uint64 }
 
-// RaiseFence raises the fence of the same holder.
-type RaiseFence struct{ Fence int64 }
-
 // JobPersisted reports that a version of a PersistJob is stored.
 type JobPersisted struct {
 	Job     string
@@ -145,7 +143,6 @@
 func (PollResult) message()         {}
 func (WithdrawConn) message()       {}
 func (SenderDisconnected) message() {}
-func (RaiseFence) message()         {}
 func (JobPersisted) message()       {}
 func (CancelJob) message()          {}
 func (RestoreDone) message()        {}
@@ -181,7 +178,8 @@
 	Progress Progress
 }
 
-// FencedOff reports that another holder has claimed the group; the Scheduler has stopped.
+// FencedOff reports that another holder has claimed the group; the Scheduler has stopped. Worker is empty if the VM of a job
+// has reported that holder.
 type FencedOff struct{ Worker string }
 
 // LogEvent is a decision to be logged.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -101,8 +101,6 @@
 		s.handleSenderDisconnected(m.Conn)
 	case WithdrawConn:
 		s.withdrawConn(m.Conn)
-	case RaiseFence:
-		s.fence = max(s.fence, m.Fence)
 	case JobPersisted:
 		s.handleJobPersisted(m)
 	case CancelJob:
@@ -112,7 +110,7 @@
 	case Tick:
 		s.tick(m)
 	case HandOver:
-		s.handOver()
+		s.handOver(true)
 		return s.effects
 	}
 	if !s.stopped {
@@ -181,14 +179,15 @@
 	s.stopUnadopted()
 }
 
-// stopFenced stops the scheduler after a worker has reported a higher fence.
+// stopFenced stops the scheduler after a worker or the VM of a job has reported a higher fence.
 func (s *Scheduler) stopFenced(worker string) {
 	s.emit(FencedOff{Worker: worker})
-	s.handOver()
+	s.handOver(false)
 }
 
-// handOver ends all submissions, so that the next holder can continue their jobs.
-func (s *Scheduler) handOver() {
+// handOver ends all submissions, so that the next holder can continue their jobs. Unless this scheduler is the latest, its
+// jobs may have runs that it does not know.
+func (s *Scheduler) handOver(latest bool) {
 	s.stopped = true
 	keys := make([]SubmissionKey, 0, len(s.submissions))
 	for k := range s.submissions {
@@ -201,7 +200,11 @@
 			s.emit(Reply{k, NotRun{Reason: ReasonHandedOver, RetryAfter: s.rules.MinRetryAfter}})
 			continue
 		}
-		s.emit(Reply{k, HandedOver{Progress: js.progress(s.runs, s.orphans, s.now)}})
+		progress := js.progress(s.runs, s.orphans, s.now)
+		if !latest {
+			progress = progress.WithUnknownRuns()
+		}
+		s.emit(Reply{k, HandedOver{Progress: progress}})
 	}
 	s.submissions = map[SubmissionKey]*jobState{}
 }
