Wait for the longest lease of the tries of a start

Cause: a start without an answer counts as not carried out when its worker does not list it after the end of its lease. The second try overwrote the end of the first one's lease, and may have a shorter lease, for example when another job on the worker was withdrawn in between. The task then started elsewhere while the worker could still carry out the first order.

Change: the end that counts is the latest of all tries.

Failed before: TestRepeatedStartShortensFirstOne (460 ms too early).

--- a/placement/run.go
+++ b/placement/run.go
@@ -61,13 +61,14 @@
 
 func (s *Scheduler) sendStart(r *run) {
 	r.tries++
-	r.startExpiry = s.extendLease(r.worker)
+	lease := s.extendLease(r.worker)
+	r.startExpiry = max(r.startExpiry, lease) // an earlier try may still be carried out
 	r.sender = r.job.sender
 	s.emit(StartRun{Sender: r.sender, Order: worker.StartOrder{
 		Target:     target(r.worker),
 		Run:        worker.Run{Task: r.taskName, Number: r.number},
 		Spec:       r.job.work.Spec,
-		Lease:      r.startExpiry,
+		Lease:      lease,
 		Fence:      s.fence,
 		Timeout:    s.orderTimeout(),
 		Checkpoint: r.job.steps[r.step].tasks[r.index].checkpoint,
