Let the lease of a closed job's runs end with its permit

Cause: while runs of a closed job are being stopped, the lease of their worker is limited to 0.4 s after the job was closed. A holder that gets no processor when the permit expires closes the job up to 0.5 s later, and counted from then.

Change: it counts from the end of the permit if that is earlier.

Failed before: TestLateReleaseExtendsLease (0.75 s after the permit in place of 0.44 s).

--- a/placement/expiry_test.go
+++ b/placement/expiry_test.go
@@ -109,3 +109,33 @@
 		}
 	}
 }
+
+// Guards against a run that outlives the permit of its job, because a holder that was stalled when the permit ended
+// renews the lease of the worker for another job while the order to stop the run is on its way.
+func TestLateReleaseExtendsLease(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	permits := Permits{7: d.now.Add(750 * time.Millisecond)}
+	end := permits[7]
+	var poll PollWorker
+	for conn, id := range map[uint64]string{7: "00000000000000aa", 0: "00000000000000bb"} {
+		effects := d.submit(conn, id, 20000)
+		start, ok := find(effects, func(s StartRun) bool { return s.Order.ID == "w1" })
+		is.True(ok)
+		if p, ok := find(effects, func(p PollWorker) bool { return p.Order.ID == "w1" }); ok {
+			poll = p
+		}
+		d.update(StartResult{Order: start.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
+	}
+	running := []worker.ActiveRun{{Run: worker.Run{Task: "00000000000000aa.0.0.0", Number: 1}}, {Run: worker.Run{Task: "00000000000000bb.0.0.0", Number: 1}}}
+	d.after(700 * time.Millisecond)
+	if p, ok := find(d.answerPoll(poll, running), func(p PollWorker) bool { return p.Order.ID == "w1" }); ok {
+		poll = p
+	}
+	d.after(400 * time.Millisecond) // the holder gets no processor
+	d.update(Tick{Permits: permits})
+	next, ok := find(d.answerPoll(poll, running), func(p PollWorker) bool { return p.Order.ID == "w1" })
+	is.True(ok)
+	leaseEnd := d.now.Add(next.Order.Lease - d.clock)
+	is.True(leaseEnd.Sub(end) <= PermitLease+d.leaseError())
+}
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -23,10 +23,11 @@
 	mayHaveStarted bool // a task may have started
 	started        bool // a task has certainly started
 	inQueue        bool
-	resumed        bool // an earlier holder may have started tasks
-	closed         bool // answered; its remaining runs are being stopped
-	closedAt       time.Time
-	observed       bool // a run time of the job was learned
+	resumed        bool      // an earlier holder may have started tasks
+	closed         bool      // answered; its remaining runs are being stopped
+	closedAt       time.Time // or when the permit of its last submission expired, if that is earlier
+	permitExpiry   time.Time // of the submission withdrawn last; zero if it needed no permit
+	observed       bool      // a run time of the job was learned
 	rank           float64
 	lateness       int           // result of Scheduler.lateness at the last placement
 	specMissing    bool          // only the sender knows the spec
@@ -260,6 +261,7 @@
 	if js == nil {
 		return
 	}
+	js.permitExpiry, _ = s.permit(js)
 	delete(s.submissions, m.Key)
 	delete(js.keys, m.Key)
 	if len(js.keys) > 0 {
@@ -289,6 +291,9 @@
 		}
 	}
 	js.closed, js.closedAt = true, s.now
+	if !js.permitExpiry.IsZero() && js.permitExpiry.Before(s.now) {
+		js.closedAt = js.permitExpiry
+	}
 	delete(s.jobs, js.work.ID)
 	if js.durable {
 		switch verdict.(type) {
