Ignore responses of a worker's earlier incarnation

Cause: a response with another incarnation than the known one counted as a restart, also when it came late from the one before. The confirmed runs of the new incarnation were then lost and started again beside themselves, and its lease was computed from the earlier clock.

Change: such a response is ignored if its order was sent before the known incarnation was first seen; the next poll decides. The incarnations themselves are not compared, since they are readings of wall clocks. A stop that was answered so is sent again.

Failed before: TestLateResponseOfEarlierIncarnation.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -82,8 +82,9 @@
 		})
 	case placement.StopRun:
 		d.tasks.Go(func() error {
+			sent := time.Now()
 			report, err := d.workers.Stop(ctx, e.Order)
-			d.apply(ctx, placement.StopResult{Order: e.Order, Report: report, Err: err})
+			d.apply(ctx, placement.StopResult{Order: e.Order, SentAt: sent, Report: report, Err: err})
 			return nil
 		})
 	case placement.PollWorker:
--- a/placement/expiry_test.go
+++ b/placement/expiry_test.go
@@ -94,7 +94,7 @@
 	is.True(ok)
 	d.after(60 * time.Millisecond)
 	d.update(StopResult{Order: stop.Order, Err: noResponse})
-	d.update(StopResult{Order: stopOther.Order, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
+	d.update(StopResult{Order: stopOther.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
 	d.update(Tick{Permits: Permits{8: d.now.Add(750 * time.Millisecond)}})
 
 	for first.Order.Lease > d.clock { // the worker would still carry out the first order
@@ -139,3 +139,24 @@
 	leaseEnd := d.now.Add(next.Order.Lease - d.clock)
 	is.True(leaseEnd.Sub(end) <= PermitLease+d.leaseError())
 }
+
+// Guards against runs that start again beside themselves: a late response of a worker's earlier incarnation counts as
+// another restart.
+func TestLateResponseOfEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	start, ok := find(d.submit(7, "00000000000000aa", 20000), func(StartRun) bool { return true })
+	is.True(ok)
+	d.after(10 * time.Millisecond)
+	born := worker.Report{Clock: time.Millisecond, Incarnation: 2}
+	effects := d.update(PollResult{Order: worker.PollOrder{Target: start.Order.Target}, SentAt: d.now, Report: born}) // w1 has restarted
+	poll, ok := find(effects, func(p PollWorker) bool { return p.Order.ID == "w1" })
+	is.True(ok)
+	d.update(PollResult{Order: poll.Order, SentAt: d.now, Report: born})
+	other, ok := find(d.submit(0, "00000000000000bb", 20000), func(s StartRun) bool { return s.Order.ID == "w1" })
+	is.True(ok)
+	d.update(StartResult{Order: other.Order, SentAt: d.now, Report: born})
+	effects = d.update(StartResult{Order: start.Order, SentAt: d.now.Add(-10 * time.Millisecond), Report: worker.Report{Clock: d.clock, Incarnation: 1}}) // sent before the restart
+	_, again := find(effects, func(s StartRun) bool { return s.Order.Task == "00000000000000bb.0.0.0" })
+	is.True(!again)
+}
--- a/placement/message.go
+++ b/placement/message.go
@@ -96,6 +96,7 @@
 // StopResult is the result of a StopRun.
 type StopResult struct {
 	Order  worker.StopOrder
+	SentAt time.Time
 	Report worker.Report
 	Err    error
 }
--- a/placement/run.go
+++ b/placement/run.go
@@ -91,7 +91,7 @@
 func (s *Scheduler) handleStartResult(m StartResult) {
 	s.observeStartResult(m)
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
-	if r == nil {
+	if r == nil || w.fromEarlierIncarnation(m.Report, m.SentAt) {
 		return
 	}
 	if m.Err == nil {
@@ -219,6 +219,10 @@
 	if r == nil {
 		return
 	}
+	if m.Err == nil && w.fromEarlierIncarnation(m.Report, m.SentAt) {
+		s.sendStop(r)
+		return
+	}
 	if m.Err == nil {
 		s.readClockAndIncarnation(w, m.Report, nil)
 		if r.confirmed.IsZero() && w.runs[r.taskName] == r {
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -284,12 +284,15 @@
 	case StartRun:
 		sg.sendStart(p, e)
 	case StopRun:
+		sent := sg.now
 		if e.Order.Timeout <= 0 {
 			sg.t.Fatalf("stop order without a timeout: it is never sent")
 		}
 		sg.sendOrder(e.Order.ID, simTimeout, false,
 			func(w *simWorker) (worker.Report, error) { return sg.handleStop(w, e.Order) },
-			func(r worker.Report, err error) { sg.step(p, StopResult{Order: e.Order, Report: r, Err: err}) })
+			func(r worker.Report, err error) {
+				sg.step(p, StopResult{Order: e.Order, SentAt: sent, Report: r, Err: err})
+			})
 	case PollWorker:
 		sg.handlePoll(p, e.Order)
 	case Reply:
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -13,6 +13,7 @@
 	removed         time.Time // when its entry disappeared; zero while it is listed
 	synced          bool      // the worker has responded to a poll under the current fence
 	incarnation     int64
+	incarnationAt   time.Time     // when a response or the list first showed the incarnation
 	clock           time.Duration // latest clock reading reported by the worker
 	clockAt         time.Time     // when that reading was received
 	free            worker.Resources
@@ -110,6 +111,12 @@
 	}
 }
 
+// fromEarlierIncarnation reports whether the response to an order may be that of an incarnation before the known one: the
+// order was sent before that one was known.
+func (w *workerState) fromEarlierIncarnation(report worker.Report, sentAt time.Time) bool {
+	return report.Incarnation != 0 && w.incarnation != 0 && report.Incarnation != w.incarnation && sentAt.Before(w.incarnationAt)
+}
+
 // readClockAndIncarnation records the worker's clock and incarnation from a response. It returns false after a restart.
 func (s *Scheduler) readClockAndIncarnation(w *workerState, report worker.Report, confirmed *run) bool {
 	w.unansweredCalls = 0
@@ -120,7 +127,7 @@
 		return true
 	}
 	if w.incarnation == 0 {
-		w.incarnation = report.Incarnation
+		w.incarnation, w.incarnationAt = report.Incarnation, s.now
 		return true
 	}
 	s.workerRestarted(w, report.Incarnation, confirmed)
@@ -129,7 +136,7 @@
 
 // workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any.
 func (s *Scheduler) workerRestarted(w *workerState, born int64, confirmed *run) {
-	w.incarnation = born
+	w.incarnation, w.incarnationAt = born, s.now
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
@@ -238,7 +245,7 @@
 		s.handlePollError(w, m.Order, m.Err)
 		return
 	}
-	if !s.readClockAndIncarnation(w, m.Report, nil) {
+	if w.fromEarlierIncarnation(m.Report, m.SentAt) || !s.readClockAndIncarnation(w, m.Report, nil) {
 		return
 	}
 	w.ackedSequence = max(w.ackedSequence, m.Order.AckedThrough)
