Keep a removed worker until the earlier holder's lease has expired

Cause: a new holder drops a worker that is no longer listed 2.5 s after its entry disappeared. A worker that it had not read yet counted as one without a lease, so that it was forgotten at once when that time was over, and with it the run that it might have.

Change: a worker counts from the start as one with a lease of the earlier holder.

Failed before: TestNextHolderForgetsRemovedWorker (two runs at 400.3 ms).

--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -22,7 +22,7 @@
 	handledSequence int64              // sequence of the last ended run that was processed
 	ackedSequence   int64              // last sequence that was acknowledged to the worker
 	pendingAcks     map[int64]struct{} // sequences of ended runs that must not be acknowledged yet
-	leaseExpiry     time.Time          // every lease granted so far has expired by then
+	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired by then
 	polling         bool
 	lastPollAt      time.Time
 	unansweredCalls int // consecutive calls without a response
@@ -52,14 +52,13 @@
 		if w != nil {
 			s.loseRuns(w, "listed at another address")
 		}
-		s.workers[entry.ID] = newWorkerState(entry)
+		s.addWorker(entry)
 		s.logEvent("worker-added", "", entry.ID, "listed", nil)
 	}
 	for _, entry := range m.Removed {
 		if s.workers[entry.ID] == nil && entry.Elapsed < s.rules.RemovalGrace {
-			w := newWorkerState(entry.Worker)
-			w.removed = s.now.Add(-entry.Elapsed)
-			s.workers[entry.ID], listed[entry.ID] = w, true
+			s.addWorker(entry.Worker).removed = s.now.Add(-entry.Elapsed)
+			listed[entry.ID] = true
 			s.logEvent("worker-added", "", entry.ID, "no longer listed, may still run tasks", map[string]int64{"unlisted-ms": ms(entry.Elapsed)})
 		}
 	}
@@ -72,6 +71,14 @@
 	s.sortWorkers()
 }
 
+// addWorker adds a worker, which may have runs of an earlier holder.
+func (s *Scheduler) addWorker(entry worker.Worker) *workerState {
+	w := newWorkerState(entry)
+	w.leaseExpiry = s.now.Add(s.rules.LostHolderTimeout)
+	s.workers[entry.ID] = w
+	return w
+}
+
 func newWorkerState(w worker.Worker) *workerState {
 	return &workerState{Worker: w, incarnation: w.Incarnation, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1, slowProduct: 1}}
 }
