Stop a run of a restarted worker if its start was sent twice

It needs a worker that restarts under its id and whose new incarnation receives an order that was sent to the earlier one.

Cause: after a restart, runs whose start was confirmed are lost at once and start elsewhere. When the second try of a start was confirmed, the first one could still be under way and be carried out by the new incarnation.

Change: such runs are stopped first, as those without a confirmation.

Failed before: TestFirstStartReachesRestartedWorker.

--- a/placement/expiry_test.go
+++ b/placement/expiry_test.go
@@ -160,3 +160,21 @@
 	_, again := find(effects, func(s StartRun) bool { return s.Order.Task == "00000000000000bb.0.0.0" })
 	is.True(!again)
 }
+
+// Guards against a second run of a task whose worker has restarted: the first of two start orders reaches the new
+// incarnation after the second one was answered by the earlier one.
+func TestFirstStartReachesRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	first, ok := find(d.submit(0, "00000000000000aa", 40000), func(StartRun) bool { return true })
+	is.True(ok)
+	d.after(60 * time.Millisecond)
+	second, ok := find(d.update(StartResult{Order: first.Order, SentAt: d.now.Add(-60 * time.Millisecond), Err: noResponseError{}}), func(StartRun) bool { return true })
+	is.True(ok)
+	d.update(StartResult{Order: second.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
+	d.after(10 * time.Millisecond)
+	effects := d.update(PollResult{Order: worker.PollOrder{Target: first.Order.Target}, SentAt: d.now, Report: worker.Report{Clock: time.Millisecond, Incarnation: 2}})
+	_, again := find(effects, func(StartRun) bool { return true })
+	_, stopped := find(effects, func(StopRun) bool { return true })
+	is.True(!again && stopped)
+}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -147,8 +147,8 @@
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
-		case r.confirmed.IsZero():
-			// The start order may still reach the new incarnation, whose clock would not reject it as expired.
+		case r.confirmed.IsZero(), r.tries > 1:
+			// A start order may still reach the new incarnation, whose clock would not reject it as expired.
 			s.stopRun(r)
 		default:
 			s.loseRun(r, "worker restarted")
