Hold a group again without the store under a higher fence only

Cause: without the store the fence follows from the record and from the place of the VM among the candidates. After a pause the VM held the group again under the same fence, so that workers took its orders from before the pause for those of the new scheduler.

Change: a fence that this VM has used and given up is raised by the number of candidates; when none is left below the next revision, the VM does not hold the group.

Failed before: TestGroupIsHeldAgainUnderTheSameFence.

--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -228,8 +228,12 @@
 		held = held || l.holds[group] > record.revision*fencesPerRevision
 	}
 	present := g.drivers[group] != nil
+	lost := g.fenceLosses[group]
 	g.mu.Unlock()
-	if held || present {
+	for fence <= lost.fence {
+		fence += int64(len(candidates)) // orders under the earlier fence may still be on their way
+	}
+	if held || present || fence >= (record.revision+1)*fencesPerRevision {
 		return
 	}
 	g.log.Warn().Str("event", "claim-unconfirmed").Str("group", group).Int64("fence", fence).Msg("holding the group without the store")
