Open one connection to a peer when many calls begin at once

Cause: net/http hands a new HTTP/2 connection to the call that waited for it before it puts it into the pool that other calls share (dialConnFor). If the goroutine that dials gets no processor in between, that call can end, and each call that begins meanwhile dials.

Change: a peer has one connection for each transport at most; calls wait for it in place of dialing. TestCallsWaitForClosingConnection covers what the limit could break: a call while the only connection is being closed goes over a new one at once.

--- a/link/client.go
+++ b/link/client.go
@@ -183,6 +183,7 @@
 		},
 		Protocols:          protocols,
 		DisableCompression: true, // connect negotiates compression itself
+		MaxConnsPerHost:    1,    // net/http hands a new connection to its first call before it shares it with others
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: ping},
 	}
 }
--- a/link/fault_test.go
+++ b/link/fault_test.go
@@ -163,7 +163,7 @@
 		counter = &countingListener{Listener: l}
 		return counter
 	})
-	c := testClient(t, ClientConfig{})
+	c := testClient(t, ClientConfig{DialTimeout: 10 * time.Second})   // not what is tested here
 	_, err := c.Lookup(t.Context(), address, &linkpb.LookupRequest{}) // opens the connection
 	is.NoErr(err)
 	var group sync.WaitGroup
@@ -182,3 +182,35 @@
 	}
 	is.Equal(counter.connections.Load(), int64(1))
 }
+
+// Guards against calls that wait for the end of those on a connection that its server is closing.
+func TestCallsWaitForClosingConnection(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server, address := startServer(t, &fakeHandler{forward: func(context.Context, *linkpb.ForwardRequest) (*linkpb.Answer, error) {
+		close(started)
+		<-release
+		return &linkpb.Answer{Outcome: "complete"}, nil
+	}})
+	c := testClient(t, ClientConfig{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		_, err := c.Forward(t.Context(), address, testForward())
+		is.NoErr(err)
+	})
+	<-started
+	group.Go(func() { is.NoErr(server.Shutdown(t.Context())) })
+	var listener net.Listener
+	for listener == nil { // until Shutdown has closed the address
+		listener, _ = net.Listen("tcp", address)
+	}
+	successor := NewServer(ServerConfig{Handler: &fakeHandler{}})
+	group.Go(func() { _ = successor.Serve(listener) })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := c.Lookup(ctx, address, &linkpb.LookupRequest{})
+	is.NoErr(err)
+	close(release)
+	is.NoErr(successor.Close())
+	group.Wait()
+}
