Let a repeated request wait for the job in progress at its VM

Cause: a caller whose connection breaks without the VM's knowledge sends the job again 1.3 s later, and may reach the same VM. Submit took the second request for a new job, chose a group by the present load, and a second group started the job's tasks beside the first one. Only within one group was the id recognized (job-joined).

Change: a request for a job that is in progress at this VM waits for the reply of that job. The job is withdrawn when all its callers have left, not when the first one has.

Failed before: TestRepeatedRequestRunsInAnotherGroup (two runs 0.3 s apart, in a#0 and a#1).

--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -52,12 +52,6 @@
 	replyMargin = 15 * time.Millisecond
 )
 
-// activeJob is a job in progress at this VM.
-type activeJob struct {
-	cancel context.CancelFunc
-	route  string
-}
-
 // pendingRequest is a request to a holder whose verdict is pending.
 type pendingRequest struct {
 	answer chan peer.Verdict
@@ -83,27 +77,20 @@
 
 // Submit runs a job and returns its result; ctx ends when the caller no longer waits.
 func (g *Gateway) Submit(ctx context.Context, s Submission) Reply {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	a, first := g.enterJob(ctx, s)
+	defer context.AfterFunc(ctx, func() { g.leaveJob(a) })()
+	if !first {
+		return g.awaitReply(ctx, a, s)
+	}
+	defer g.endJob(a)
 	r := &request{Submission: s, arrived: time.Now(), asked: map[string]bool{}, fences: map[string]int64{}}
 	r.deadline = r.arrived.Add(s.Budget - replyMargin)
 	r.lastRefusal = Refused{Reason: "no group of workers can be reached", RetryAfter: time.Second}
-	a := &activeJob{cancel: cancel, route: s.Policy.Route}
-	g.mu.Lock()
-	g.active[s.Work.ID] = a
-	g.mu.Unlock()
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.active[s.Work.ID] == a {
-			delete(g.active, s.Work.ID)
-		}
-	}()
-	g.awaitDisconnect(ctx)
+	g.awaitDisconnect(a.ctx)
 	r.pausesBefore, _ = g.pauseDetector.state()
-	reply := r.withoutFalseRefusal(g.runToVerdict(ctx, r))
-	g.logReply(r, reply)
-	return reply
+	a.reply = r.withoutFalseRefusal(g.runToVerdict(a.ctx, r))
+	g.logReply(r, a.reply)
+	return a.reply
 }
 
 func (g *Gateway) logReply(r *request, reply Reply) {
@@ -468,24 +455,6 @@
 	h.conn.Send(peer.Withdraw{Sequence: sequence})
 }
 
-// CancelActive cancels a job that is in progress at this VM and reports whether there was one.
-func (g *Gateway) CancelActive(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	a := g.active[id]
-	if a != nil {
-		a.cancel()
-	}
-	return a != nil
-}
-
-// IsActive reports whether a job is in progress at this VM.
-func (g *Gateway) IsActive(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.active[id] != nil
-}
-
 // FindRoute returns the route of a request, and whether the configuration is known at all.
 func (g *Gateway) FindRoute(host, path string) (route Route, found, known bool) {
 	c, _ := g.cache.currentConfig()
