Let the right of a holder to run durable jobs end

Cause: durable jobs had no permit. A lost holder that reached one worker, and neither another VM nor the store, renewed that worker's lease without an end and could start further tasks there. The next holder waited 1.04 s for workers that it could not read.

Change: only a holder that the store names has durable jobs, so a holder starts and renews their runs only while it has recent evidence that the store names it still: a call of the store (or a write under the condition that it holds the group); a heartbeat of a VM that had such a call; or, while the store is away, heartbeats of all registered VMs, each of which may have claimed the group after it sent the last one. The permit ends 2.5 s after the sending of that call, or after the reading of the holder's own clock (suspension included) that the heartbeat returns, and is computed anew before each decision. Leases end at most 0.4 s after it, as those of other jobs. The next holder reads its record after that evidence; it waits 2.99 s from then for workers that it has not read, also for jobs that were stored since, and forgets no removed worker before.

The rule does not rest on when a VM claims a group, with one exception: VMs of other zones count 15 s longer, which they wait before they claim. So a store that is away costs no run while the VMs of the zone are connected, and none with a dead VM in another zone for 15 s. With a dead VM of the same zone the durable runs of the zone lapse 2.9 s later, until the store or that VM is back: it may have claimed the group before it died, or may do so when it is back, and a majority of VMs says nothing about a claim that needs the store only. A holder without a record (held without the store) has no permit for durable jobs: the recorded holder may be alive. It never had them loaded; long-running runs lapse there that it kept until now.

Planned stops: the earlier holder stops at the record of the next one; nothing changes.

Remains: a VM that registers for the first time while only it reaches the store and nobody reaches it is not counted among the VMs that must confirm; a worker that restarts under its id forgets the fence of the next holder.

Test: the earlier one renewed the lease by hand and without an end, which no holder can do now; it is replaced by ones that drive the real scheduler of the lost holder beside the next one.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,7 +28,9 @@
 	delegate    func(to placement.SubmissionKey, orders peer.Orders) bool // to the VM of a submission; false if it is unreachable
 	catchPanic  func(where string, f func()) bool
 
-	checkPause func(ctx context.Context)
+	checkPause    func(ctx context.Context)
+	durablePermit func() time.Duration // how long the holder may still act on durable jobs, negative after that
+	confirmedAt   atomic.Int64         // bootClock before the last write under the condition that this VM holds the group
 
 	meter     *meter
 	persister *jobPersister
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,8 +46,9 @@
 	mu                  sync.Mutex
 	links               map[string]*peerLink
 	inbound             map[*peer.Conn]uint64
-	permits             placement.Permits    // of the inbound connections, until their submissions are withdrawn
-	followers           map[*peer.Conn]int64 // revision of the worker list sent to each follower
+	permits             placement.Permits            // of the inbound connections, until their submissions are withdrawn
+	confirmations       map[string]peer.Confirmation // last one of each VM
+	followers           map[*peer.Conn]int64         // revision of the worker list sent to each follower
 	drivers             map[string]*groupDriver
 	pending             map[uint64]*pendingRequest
 	lastUnansweredStart time.Time                // when a start sent for a holder last got no response
@@ -77,7 +78,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(bootClock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: newStoreCache(config.Decoder, log), meter: newMeter(), tasks: &errgroup.Group{},
-		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
+		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
 		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
 		holdWake: make(chan struct{}, 1),
@@ -245,7 +246,9 @@
 			g.setLoads(d.group, loads)
 		}
 		digest := urgentDigest(heartbeat)
+		confirmations := g.confirmHolders()
 		for _, c := range g.connections() {
+			heartbeat.Confirmation = confirmations[c]
 			c.SendHeartbeat(heartbeat, digest != lastDigest)
 		}
 		lastDigest = digest
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -289,12 +289,14 @@
 func (g *Gateway) startDriver(ctx context.Context, group string, fence int64, unconfirmed bool) {
 	rules := g.config.PlacementRules
 	rules.LeaseDuration, rules.LostHolderTimeout = g.settings.LeaseDuration, orphanedRunTimeout
+	rules.DurableHolderEnd = durableHolderEnd(rules)
 	config := placement.Config{Fence: fence, Rules: rules, IncompleteList: g.cache.workerListIncomplete(rules.RemovalGrace), Restoring: true, LongRunningJobs: g.longRunningIn(group)}
 	d := &groupDriver{
 		group: group, fence: fence, storeUnconfirmed: unconfirmed, workers: g.config.Workers, tasks: g.tasks, log: g.log,
 		sendVerdict: g.sendVerdict, delegate: g.delegateStarts, catchPanic: g.catchPanic, checkPause: g.checkPause, meter: g.meter,
 		scheduler: placement.New(config), lastNeed: map[string]worker.Resources{}, delegated: map[worker.Run]delegatedStart{},
 	}
+	d.durablePermit = func() time.Duration { return g.durablePermit(d) }
 	d.persister = newJobPersister(g, d)
 	g.mu.Lock()
 	g.drivers[group] = d
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -296,6 +296,7 @@
 		}
 	case peer.Heartbeat:
 		h.g.extendPermit(h.connID(c), m.Echo)
+		h.g.recordConfirmation(c.Remote().VM, m.Confirmation)
 		h.g.handleHeartbeat(c, nil, m)
 	case peer.Want:
 		c.Send(h.g.cache.copyFor(m.All))
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -290,8 +290,10 @@
 		p.g.log.Error().Str("event", "save").Err(errs).Msg("jobs cannot be encoded")
 		return
 	}
+	sent := bootClock()
 	revision, err := p.g.config.Store.Commit(ctx, t)
 	if err == nil {
+		p.d.confirmedAt.Store(int64(sent)) // the only writer
 		p.interval = max(p.interval-p.interval/8, minWriteInterval)
 		endedMessage := peer.Over{States: map[string]string{}}
 		for _, s := range batch {
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -64,8 +64,9 @@
 
 	mu              sync.Mutex
 	items           map[string]store.KeyValue
-	revision        int64     // highest seen
-	lastContact     time.Time // last response of the store
+	revision        int64         // highest seen
+	lastContact     time.Time     // last response of the store
+	confirmedAt     time.Duration // bootClock before the last call that read or watched the keys below ownPrefix
 	configuration   *Configuration
 	configRev       int64
 	configRaw       []byte
@@ -170,6 +171,7 @@
 
 // readAll reads and applies all keys of a prefix.
 func (sc *storeCache) readAll(ctx context.Context, keys store.KV, part *watchedPrefix) error {
+	sent := bootClock()
 	snapshot, err := keys.Range(ctx, part.name)
 	if err != nil {
 		return err
@@ -177,6 +179,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	sc.markAvailable()
+	sc.confirmRecords(part, sent)
 	part.lastContact = sc.lastContact
 	sc.replaceAll(part, snapshot.Revision, snapshot.Items)
 	sc.notifyLocked()
@@ -212,6 +215,7 @@
 }
 
 func (sc *storeCache) watchOnce(ctx context.Context, keys store.KV, part *watchedPrefix) error {
+	sent := bootClock()
 	changes, err := keys.Watch(ctx, part.name, sc.knownRevision(part), part.timeout)
 	if err != nil {
 		return err
@@ -219,6 +223,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	sc.markAvailable()
+	sc.confirmRecords(part, sent)
 	part.lastContact = sc.lastContact
 	for _, e := range changes.Events {
 		sc.applyEvent(part, e)
--- a/peer/message.go
+++ b/peer/message.go
@@ -41,6 +41,14 @@
 	Often         bool // the sender asks for frequent heartbeats on this connection
 	Clock         time.Duration
 	Echo          time.Duration // lower bound of the receiver's clock when the heartbeat was sent, 0 if unknown
+	Confirmation  Confirmation  // empty unless the sender knows the receiver as the holder of a group
+}
+
+// Confirmation tells a VM of which groups another VM knew it as the recorded holder. Earlier versions send none.
+type Confirmation struct {
+	Records  map[string]int64 // revisions of the holder's records, by group
+	Clock    time.Duration    // lower bound of the receiver's clock before the sender looked at the records
+	StoreAge time.Duration    // age of the last call by which the store confirmed the records, 0 if it never did
 }
 
 // Submit submits a job to the holder of a group; the holder answers with a Verdict.
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -46,8 +46,9 @@
 	clear(js.keys)
 	s.durableJobs[js.work.ID], s.jobs[js.work.ID] = js, js
 	if m.Resumed || !s.allSynced() {
-		// An earlier holder may have started tasks on a worker that has not reported its runs yet.
-		js.priorRunsUntil = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
+		// An earlier holder may have started tasks on a worker that has not reported its runs yet, and may go on until its
+		// permit ends, also with jobs that were stored since.
+		js.priorRunsUntil = s.firstUpdate.Add(s.rules.DurableHolderEnd)
 	}
 	s.releaseReadySteps(js)
 	for i := range js.steps {
--- a/placement/message.go
+++ b/placement/message.go
@@ -133,6 +133,10 @@
 	Permits Permits
 }
 
+// DurablePermit sets until when the holder may start runs of durable jobs and renew their leases. Without this message
+// there is no limit.
+type DurablePermit struct{ Until time.Time }
+
 // HandOver stops the Scheduler, which reports the progress of its jobs to their submitters.
 type HandOver struct{}
 
@@ -148,6 +152,7 @@
 func (CancelJob) message()          {}
 func (RestoreDone) message()        {}
 func (Tick) message()               {}
+func (DurablePermit) message()      {}
 func (HandOver) message()           {}
 
 // Effect is an output of a Scheduler: one of the types of this file.
--- a/placement/outdated_test.go
+++ b/placement/outdated_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/worker"
 )
 
 // Guards against a holder that goes on by what it knew before another holder had the group: the VM of a job comes back to
@@ -114,25 +116,94 @@
 	is.True(sg.generations == 2)
 }
 
+// lostHolder plays a holder of durable jobs that is replaced without knowing it: it reaches the worker w00 only, which the next
+// holder can't reach, and its permit ends as late as evidence from the moment of the take-over allows. It is driven on beside
+// the next holder.
+func (sg *simGroup) lostHolder() *Scheduler {
+	lost := sg.scheduler.(*Scheduler)
+	sg.step(lost, DurablePermit{Until: sg.now.Add(permitOfEvidence)})
+	sg.workers["w00"].unreachable = true
+	sg.replaceScheduler() // it sends its first orders at once
+	sg.workers["w00"].unreachable = false
+	sg.cutOff = map[updater]*simWorker{lost: sg.workers["w01"], sg.scheduler: sg.workers["w00"]}
+	sg.driveBeside(lost)
+	return lost
+}
+
+// driveBeside drives a scheduler that was replaced.
+func (sg *simGroup) driveBeside(lost *Scheduler) {
+	sg.step(lost, WorkerList{Workers: []worker.Worker{sg.workers["w00"].Worker, sg.workers["w01"].Worker}})
+	sg.step(lost, Tick{})
+	sg.after(50*time.Millisecond, func() { sg.driveBeside(lost) })
+}
+
+// permitOfEvidence is the permit that the gateway grants for evidence of the current moment, see gateway.durablePermitDuration.
+const permitOfEvidence = 2500 * time.Millisecond
+
+// runsOn reports whether a task of the job runs on a worker.
+func (sg *simGroup) runsOn(id, workerID string) bool {
+	return sg.workers[workerID].runs[id+".0.0.0"] != nil
+}
+
 // Guards against a second run of a durable job's task: a lost holder that does not know that it was replaced renews the
 // lease of a worker that the next holder can't reach.
 func TestNextHolderStartsDurableTaskWhileLostHolderMayAct(t *testing.T) {
+	is := is.New(t)
 	sg := newSimGroup(t, 1, 2)
 	sg.run(20 * time.Millisecond)
-	id := sg.storeJob(jobClass{route: "caller", cores: 40000, attempts: 3, length: 4 * time.Second}, 1)
+	sg.workers["w01"].unreachable = true // so that the task runs on w00
+	id := sg.storeJob(jobClass{route: "caller", cores: 40000, attempts: 3, length: 20 * time.Second}, 1)
 	sg.run(300 * time.Millisecond)
-	lost := sg.scheduler
-	unreachable := sg.workers["w00"]
-	if len(unreachable.runs) == 0 {
-		unreachable = sg.workers["w01"]
-	}
-	for renewal := range 10 { // the lost holder's polls
-		sg.after(time.Duration(renewal)*300*time.Millisecond, func() { sg.extendLease(unreachable, sg.clock(unreachable)+900*time.Millisecond) })
-	}
-	unreachable.unreachable = true // from the next holder
-	sg.replaceScheduler()
-	sg.run(2500 * time.Millisecond) // simGroup fails the test if a task runs twice at a time
-	if n, _ := sg.runningTasks(id); n != 1 || lost == sg.scheduler {
-		t.Fatalf("%d tasks of the job run", n)
-	}
+	sg.workers["w01"].unreachable = false
+	sg.runUntil(sg.now.Add(time.Second))
+	is.True(sg.runsOn(id, "w00"))
+	takeOver := sg.now
+	sg.lostHolder()
+	sg.runUntil(takeOver.Add(permitOfEvidence))
+	is.True(sg.runsOn(id, "w00"))              // work goes on as long as the permit
+	sg.runUntil(takeOver.Add(4 * time.Second)) // simGroup fails the test if a task runs twice at a time
+	is.True(!sg.runsOn(id, "w00") && sg.runsOn(id, "w01"))
+}
+
+// Guards against a second run of a durable job's task that was stored after the take-over: the lost holder hears of the job from
+// the VM that took it, and may still start it.
+func TestLostHolderStartsDurableTaskBesideNextHolder(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	sg.run(500 * time.Millisecond)
+	takeOver := sg.now
+	lost := sg.lostHolder()
+	sg.runUntil(takeOver.Add(1500 * time.Millisecond))
+	c := jobClass{route: "caller", cores: 20000, attempts: 3, length: 20 * time.Second}
+	id := sg.storeJob(c, 1)
+	sg.step(lost, sg.stored[id].Submit)
+	sg.runUntil(takeOver.Add(2 * time.Second))
+	is.True(sg.runsOn(id, "w00"))
+	sg.runUntil(takeOver.Add(2600 * time.Millisecond))
+	late := sg.storeJob(c, 1)
+	sg.step(lost, sg.stored[late].Submit)
+	sg.runUntil(takeOver.Add(5 * time.Second)) // simGroup fails the test if a task runs twice at a time
+	is.True(!sg.runsOn(late, "w00"))           // its permit had ended
+	is.True(!sg.runsOn(id, "w00") && sg.runsOn(id, "w01"))
+}
+
+// Guards against a second run of a durable job's task on a worker whose entry has disappeared: the next holder forgets it while a
+// lost holder may renew its lease.
+func TestNextHolderForgetsRemovedWorkerOfDurableTask(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	sg.run(20 * time.Millisecond)
+	sg.workers["w01"].unreachable = true // so that the task runs on w00
+	id := sg.storeJob(jobClass{route: "caller", cores: 40000, attempts: 3, length: 20 * time.Second}, 1)
+	sg.run(300 * time.Millisecond)
+	sg.workers["w01"].unreachable = false
+	sg.runUntil(sg.now.Add(time.Second))
+	is.True(sg.runsOn(id, "w00"))
+	takeOver := sg.now
+	removed := RemovedWorker{Worker: sg.workers["w00"].Worker, Elapsed: 2400 * time.Millisecond}
+	sg.listed, sg.listedAt = WorkerList{Workers: []worker.Worker{sg.workers["w01"].Worker}, Removed: []RemovedWorker{removed}}, sg.now
+	sg.workerIDs = []string{"w01"}
+	sg.lostHolder()
+	sg.runUntil(takeOver.Add(4 * time.Second)) // simGroup fails the test if a task runs twice at a time
+	is.True(!sg.runsOn(id, "w00") && sg.runsOn(id, "w01"))
 }
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -12,6 +12,10 @@
 // jobs on the worker, so that the worker rejects a start that leaves too late, and kills the runs if the holder is stalled
 // when a permit expires.
 
+// Durable jobs have no submission. The holder acts on them only until a DurablePermit ends, which the VM extends while it has
+// recent evidence that the store names no other holder of the group. Another holder waits for DurableHolderEnd before it starts a
+// task that may be running on a worker which it has not read.
+
 // Permits holds, by connection, until when the holder may act on submissions. A connection without an entry needs none.
 type Permits map[uint64]time.Time
 
@@ -45,7 +49,7 @@
 // permit returns until when the holder may act on the job; false means that there is no limit.
 func (s *Scheduler) permit(js *jobState) (until time.Time, limited bool) {
 	if js.durable {
-		return time.Time{}, false
+		return s.durablePermit, !s.durablePermit.IsZero()
 	}
 	if js.closed {
 		return js.closedAt, true // its runs are being stopped
@@ -83,6 +87,13 @@
 	}
 }
 
+// mayStart reports whether the holder may start tasks of a durable job. Its other jobs are withdrawn when their permit
+// expires.
+func (s *Scheduler) mayStart(js *jobState) bool {
+	until, limited := s.permit(js)
+	return !js.durable || !limited || s.now.Before(until)
+}
+
 // leaseReserve keeps leases shorter than the maximum, so that between two heartbeats of a VM its jobs still start on workers
 // whose lease was just renewed, see leaseOutlastsPermit.
 const leaseReserve = 100 * time.Millisecond
@@ -90,8 +101,13 @@
 // maxLease returns the longest lease to grant to a worker now.
 func (s *Scheduler) maxLease(w *workerState) time.Duration {
 	length := s.rules.LeaseDuration - leaseReserve
-	if w.unknownRuns > 0 && !s.mustKeepLease(w) {
-		return 0 // see syncWorker
+	if w.unknownRuns > 0 {
+		if !s.mustKeepLease(w) {
+			return 0 // see syncWorker
+		}
+		if !s.durablePermit.IsZero() { // these are runs of long-running durable jobs
+			length = min(length, s.durablePermit.Add(PermitLease).Sub(s.now))
+		}
 	}
 	for _, r := range w.runs {
 		if until, limited := s.permit(r.job); limited {
@@ -108,7 +124,9 @@
 	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()))
 }
 
-// leaseError is the maximum time by which a lease lasts longer than its nominal length.
-func (s *Scheduler) leaseError() time.Duration {
-	return time.Duration(s.rules.ClockDrift*float64(s.rules.LeaseDuration)) + leaseSlack
+func (s *Scheduler) leaseError() time.Duration { return s.rules.LeaseError() }
+
+// LeaseError is the maximum time by which a lease lasts longer than its nominal length.
+func (r Rules) LeaseError() time.Duration {
+	return time.Duration(r.ClockDrift*float64(r.LeaseDuration)) + leaseSlack
 }
--- a/placement/permit_test.go
+++ b/placement/permit_test.go
@@ -30,3 +30,35 @@
 	sg.run(800 * time.Millisecond)
 	is.Equal(sg.alive["00000000000000aa.0.0.0"], 1)
 }
+
+// Guards against a holder that tries to start durable jobs again and again after its permit has ended: workers reject each
+// start, since it has no lease.
+func TestHolderStartsDurableTaskAfterItsPermit(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 1)
+	sg.run(20 * time.Millisecond)
+	sg.step(sg.scheduler, DurablePermit{Until: sg.now})
+	id := sg.storeJob(quote, 1)
+	sg.run(time.Second)
+	is.Equal(sg.starts, 0)
+	sg.step(sg.scheduler, DurablePermit{Until: sg.now.Add(time.Minute)})
+	sg.run(2 * time.Second)
+	is.Equal(sg.stored[id].state, DurableCompleted)
+}
+
+// Guards against leases that are renewed without an end for the runs of a long-running job that is not loaded yet.
+func TestRunsOfUnloadedJobOutlivePermit(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 1)
+	sg.run(20 * time.Millisecond)
+	id := sg.storeLongRunning(1, 1)
+	sg.run(time.Second)
+	is.True(sg.runsOn(id, "w00"))
+	sg.maxStoreDelay = 1 << 20 // the next holder can't load the job
+	sg.replaceScheduler()
+	sg.step(sg.scheduler, DurablePermit{Until: sg.now.Add(2 * time.Second)})
+	sg.run(2900 * time.Millisecond)
+	is.True(sg.runsOn(id, "w00"))
+	sg.run(3500 * time.Millisecond)
+	is.True(!sg.runsOn(id, "w00"))
+}
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -15,6 +15,7 @@
 	AckDelay            time.Duration // idle time after which the last ended runs are acknowledged
 	UnackedPollInterval time.Duration // between polls of a worker that lists ends which must not be acknowledged yet
 	LostHolderTimeout   time.Duration // after the loss of a holder, the time by which all its runs of other VMs' jobs have ended
+	DurableHolderEnd    time.Duration // after the loss of a holder, the time by which all its runs of durable jobs have ended
 	AdoptionTimeout     time.Duration // for entry VMs to resume the jobs of an earlier holder
 	RemovalGrace        time.Duration // use of a worker after its entry disappeared; entries are back 2 s after an outage
 	Quarantine          time.Duration // first ejection of a failing worker; doubles with each ejection
@@ -40,6 +41,7 @@
 		AckDelay:            300 * time.Millisecond,
 		UnackedPollInterval: 15 * time.Millisecond,
 		LostHolderTimeout:   1290 * time.Millisecond,
+		DurableHolderEnd:    2990 * time.Millisecond,
 		AdoptionTimeout:     200 * time.Millisecond,
 		RemovalGrace:        2500 * time.Millisecond,
 		Quarantine:          time.Second,
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -38,6 +38,7 @@
 	siblingRatios   ratioDistribution         // of run times to those of the other tasks of the step
 	startRTT        rttEstimator
 	permits         Permits
+	durablePermit   time.Time            // zero if there is no limit
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
 	unpersisted     []*jobState          // durable jobs with unpersisted changes
 	deferredEnds    []deferredEnd
@@ -109,6 +110,9 @@
 		s.handleRestoreDone()
 	case Tick:
 		s.tick(m)
+	case DurablePermit:
+		s.durablePermit = m.Until
+		return nil
 	case HandOver:
 		s.handOver(true)
 		return s.effects
--- a/placement/sender_test.go
+++ b/placement/sender_test.go
@@ -45,7 +45,7 @@
 		if conn != 0 && sg.lostConns[conn] {
 			return
 		}
-		sg.sendOrder(e.Order.ID, sg.link.timeout(sg.now, e.Order.Timeout), true,
+		sg.sendOrder(p, e.Order.ID, sg.link.timeout(sg.now, e.Order.Timeout), true,
 			func(w *simWorker) (worker.Report, error) { return sg.handleStart(w, e.Order) },
 			func(r worker.Report, err error) {
 				if conn == 0 {
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -51,6 +51,7 @@
 	onEffect  func(Effect)            // called before an effect of such a scheduler is executed
 	twoRuns   func(task string)       // called when a task has two runs at a time, which fails the test if nil
 	permits   func() Permits          // permits for the next tick; may be nil
+	cutOff    map[updater]*simWorker  // worker that a scheduler can't reach
 }
 
 type timedLogEvent struct {
@@ -288,7 +289,7 @@
 		if e.Order.Timeout <= 0 {
 			sg.t.Fatalf("stop order without a timeout: it is never sent")
 		}
-		sg.sendOrder(e.Order.ID, simTimeout, false,
+		sg.sendOrder(p, e.Order.ID, simTimeout, false,
 			func(w *simWorker) (worker.Report, error) { return sg.handleStop(w, e.Order) },
 			func(r worker.Report, err error) {
 				sg.step(p, StopResult{Order: e.Order, SentAt: sent, Report: r, Err: err})
@@ -320,7 +321,7 @@
 func (noResponseError) Error() string { return "no answer" }
 
 // sendOrder simulates an order to a worker and its response, either of which may be lost.
-func (sg *simGroup) sendOrder(id string, timeout time.Duration, start bool, handle func(*simWorker) (worker.Report, error), respond func(worker.Report, error)) {
+func (sg *simGroup) sendOrder(p updater, id string, timeout time.Duration, start bool, handle func(*simWorker) (worker.Report, error), respond func(worker.Report, error)) {
 	w := sg.workers[id]
 	done := false
 	finish := func(r worker.Report, err error) {
@@ -330,7 +331,7 @@
 		}
 	}
 	sg.after(timeout, func() { finish(worker.Report{}, noResponseError{}) })
-	if w == nil || w.unreachable {
+	if w == nil || w.unreachable || sg.cutOff[p] == w {
 		return
 	}
 	if start && sg.rand.Float64() < w.delayedStarts {
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -178,7 +178,7 @@
 		}
 	}
 	sg.after(o.Wait+simTimeout, func() { finish(worker.Report{}, noResponseError{}) })
-	if w == nil || w.unreachable {
+	if w == nil || w.unreachable || sg.cutOff[p] == w {
 		return
 	}
 	sg.after(simLatency, func() {
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -74,7 +74,7 @@
 // addWorker adds a worker, which may have runs of an earlier holder.
 func (s *Scheduler) addWorker(entry worker.Worker) *workerState {
 	w := newWorkerState(entry)
-	w.leaseExpiry = s.now.Add(s.rules.LostHolderTimeout)
+	w.leaseExpiry = s.now.Add(max(s.rules.LostHolderTimeout, s.rules.DurableHolderEnd))
 	s.workers[entry.ID] = w
 	return w
 }
