List a restarted worker that takes a lost holder's order as known to be red

Found while the permissions to start a task were listed. A worker keeps the highest fence for the life of its process only. When it restarts under its id after the next holder has read it, a holder that does not know that it was replaced may start a task there, within its permit (2.5 s), that the next holder has started elsewhere. The same holds for other jobs within theirs.

--- a/placement/outdated_test.go
+++ b/placement/outdated_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/worker"
 )
 
@@ -207,3 +208,27 @@
 	sg.runUntil(takeOver.Add(4 * time.Second)) // simGroup fails the test if a task runs twice at a time
 	is.True(!sg.runsOn(id, "w00") && sg.runsOn(id, "w01"))
 }
+
+// Guards against a second run of a durable job's task on a worker that has restarted after the next holder had read it: its new
+// incarnation knows no fence and takes the orders of the lost holder.
+func TestRestartedWorkerTakesOrdersOfLostHolder(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	sg.workers["w01"].Labels = []string{"a", "near"}
+	sg.listed = WorkerList{}
+	sg.step(sg.scheduler, sg.list())
+	sg.run(20 * time.Millisecond)
+	takeOver := sg.now
+	lost := sg.scheduler.(*Scheduler)
+	sg.step(lost, DurablePermit{Until: sg.now.Add(permitOfEvidence)})
+	sg.replaceScheduler()
+	sg.cutOff = map[updater]*simWorker{lost: sg.workers["w01"]}
+	sg.driveBeside(lost)
+	sg.runUntil(takeOver.Add(200 * time.Millisecond)) // the next holder has read both workers
+	sg.crash(sg.workers["w00"])
+	w := job.Work{ID: "00000000000000aa", Spec: "s", Steps: []job.Step{{Count: 1, Estimate: 20 * time.Second, DataRack: "near", Need: worker.Resources{MilliCores: 20000}}}}
+	sg.store(w, job.Policy{Service: "cue", MaxAttempts: 3, Stretch: 2, Target: time.Minute}, 20*time.Second)
+	sg.step(lost, sg.stored[w.ID].Submit)
+	sg.runUntil(takeOver.Add(4 * time.Second)) // simGroup fails the test if a task runs twice at a time
+	is.True(sg.runsOn(w.ID, "w01"))
+}
