--- a/placement/permit.go
+++ b/placement/permit.go
@@ -94,6 +94,21 @@
 	return !js.durable || !limited || s.now.Before(until)
 }
 
+// logDurablePermit logs when the permit for durable jobs has ended or is renewed, if there are such jobs.
+func (s *Scheduler) logDurablePermit() {
+	ended := !s.durablePermit.IsZero() && !s.now.Before(s.durablePermit)
+	if ended == s.durableStopped || len(s.durableJobs) == 0 {
+		return
+	}
+	s.durableStopped = ended
+	values := map[string]int64{"jobs": int64(len(s.durableJobs))}
+	if ended {
+		s.logEvent("durable-permit-ended", "", "", "neither the store nor the other VMs have confirmed the holder recently", values)
+		return
+	}
+	s.logEvent("durable-permit-renewed", "", "", "", values)
+}
+
 // leaseReserve keeps leases shorter than the maximum, so that between two heartbeats of a VM its jobs still start on workers
 // whose lease was just renewed, see leaseOutlastsPermit.
 const leaseReserve = 100 * time.Millisecond
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -39,6 +39,7 @@
 	startRTT        rttEstimator
 	permits         Permits
 	durablePermit   time.Time            // zero if there is no limit
+	durableStopped  bool                 // the end of the permit was logged
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
 	unpersisted     []*jobState          // durable jobs with unpersisted changes
 	deferredEnds    []deferredEnd
@@ -175,6 +176,7 @@
 		s.extendPermit(conn, until)
 	}
 	s.releaseExpired()
+	s.logDurablePermit()
 	for _, w := range s.sortedWorkers {
 		s.expireLease(w)
 	}
