Compute the permit for durable jobs only where it is needed, and the part of other VMs once per tick

Found on reading the merge: each message of every group, also of best-effort jobs, computed the permit, and with 97 VMs that copies a map of all registrations: 22.9 us each, 14% of a core at 6,000 messages a second. Evidence only ages, so that a computed one stays true.

Change: a scheduler without durable jobs is not asked; the evidence of other VMs is derived once per tick (50 ms).

Measured on the busy machine: BenchmarkDurablePermit 22.9 us before, 0.4 us after.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -38,3 +39,18 @@
 		g.decideGroups(b.Context())
 	}
 }
+
+// BenchmarkDurablePermit measures the computation of a holder's permit for durable jobs, done before each decision on them.
+func BenchmarkDurablePermit(b *testing.B) {
+	g := largeGateway()
+	d := &groupDriver{group: groupName("zone-0", 2), fence: 10 * fencesPerRevision}
+	g.cache.holders[d.group] = holderRecord{Record: claim.Record{VM: "vm-0-7", Incarnation: g.self.Incarnation}, revision: 10}
+	for vm := range g.cache.vms {
+		g.confirmations[vm] = peer.Confirmation{Records: map[string]int64{d.group: 10}, Clock: bootClock()}
+	}
+	for b.Loop() {
+		if g.durablePermit(d) < -time.Hour {
+			b.Fatal("no evidence")
+		}
+	}
+}
--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -32,6 +32,9 @@
 	durablePermit func() time.Duration // how long the holder may still act on durable jobs, negative after that
 	confirmedAt   atomic.Int64         // bootClock before the last write under the condition that this VM holds the group
 
+	peersConfirmedAt atomic.Int64 // bootClock at which the other VMs last showed that the group has no later record
+	peersReadAt      atomic.Int64 // bootClock when that was last derived from their confirmations
+
 	meter     *meter
 	persister *jobPersister
 
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -56,9 +56,11 @@
 	if !g.isOwnRecord(record) || d.fence < record.revision*fencesPerRevision {
 		return -now // only a recorded holder has durable jobs
 	}
-	evidence := max(storeAt, time.Duration(d.confirmedAt.Load()))
-	if now-evidence > watchWait {
+	evidence := max(storeAt, time.Duration(d.confirmedAt.Load()), time.Duration(d.peersConfirmedAt.Load()))
+	if now-evidence > watchWait && now-time.Duration(d.peersReadAt.Load()) > tickInterval {
 		evidence = max(evidence, g.peerEvidence(d.group, record.revision, now))
+		d.peersConfirmedAt.Store(int64(evidence))
+		d.peersReadAt.Store(int64(now))
 	}
 	return evidence + durablePermitDuration - now
 }
--- a/gateway/recovery.go
+++ b/gateway/recovery.go
@@ -74,10 +74,18 @@
 // updateScheduler passes a message to the scheduler; false means that it has panicked and must not be used again.
 func (d *groupDriver) updateScheduler(now time.Time, m placement.Message) (effects []placement.Effect, ok bool) {
 	ok = d.catchPanic("group "+d.group, func() {
-		permit := d.durablePermit()
+		d.mu.Lock()
+		durable := d.scheduler.NeedsDurablePermit(m)
+		d.mu.Unlock()
+		var permit time.Duration
+		if durable {
+			permit = d.durablePermit()
+		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.scheduler.Update(now, placement.DurablePermit{Until: now.Add(permit)})
+		if durable {
+			d.scheduler.Update(now, placement.DurablePermit{Until: now.Add(permit)})
+		}
 		if s, ok := m.(placement.Submit); ok && len(s.Work.Steps) > 0 {
 			d.lastNeed[s.Policy.Service] = s.Work.Steps[0].Need
 		}
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// NeedsDurablePermit reports whether the handling of a message depends on the permit for durable jobs.
+func (s *Scheduler) NeedsDurablePermit(m Message) bool {
+	submit, ok := m.(Submit)
+	return len(s.durableJobs) > 0 || !s.restored || ok && submit.Durable
+}
+
 // mayStart reports whether the holder may start tasks of a durable job. Its other jobs are withdrawn when their permit
 // expires.
 func (s *Scheduler) mayStart(js *jobState) bool {
