--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -36,8 +36,8 @@
 }
 
 // holderOfDurableJobs returns a VM of zone a that holds the group a#0 by a record of revision 4, knows the VM u of its zone and
-// the VM x of another one, and has had no evidence of its record.
-func holderOfDurableJobs(t *testing.T, workers worker.Client) (*Gateway, *groupDriver) {
+// the VM x of another one, and has had no evidence of its record. It runs no driver of the group.
+func holderOfDurableJobs(t *testing.T, workers worker.Client) *Gateway {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -49,8 +49,7 @@
 	g.cache.vms = map[string]registration{"v": {Zone: "a", Incarnation: g.self.Incarnation}, "u": {Zone: "a"}, "x": {Zone: "b"}}
 	g.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "v", Incarnation: g.self.Incarnation}, revision: 4}
 	g.cache.applyOwnWrite(workerEntry("w", 5))
-	g.startDriver(ctx, "a#0", 4*fencesPerRevision, false)
-	return g, g.driverOf("a#0")
+	return g
 }
 
 // confirm records that a VM has confirmed the group's record some time ago, and had it from the store some time before that.
@@ -105,9 +104,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g, d := holderOfDurableJobs(t, unresponsiveWorkers{})
+			g, d := holderOfDurableJobs(t, unresponsiveWorkers{}), &groupDriver{group: "a#0", fence: 4 * fencesPerRevision}
 			c.evidence(g, d)
-			d.peersReadAt.Store(0) // a tick later
 			got := max(g.durablePermit(d), 0)
 			is.True(got <= c.expected && got > c.expected-100*time.Millisecond)
 		})
@@ -129,7 +127,9 @@
 func TestIsolatedHolderRenewsLeases(t *testing.T) {
 	is := is.New(t)
 	workers := &leaseRecorder{}
-	g, d := holderOfDurableJobs(t, workers)
+	g := holderOfDurableJobs(t, workers)
+	g.startDriver(g.ctx, "a#0", 4*fencesPerRevision, false)
+	d := g.driverOf("a#0")
 	submit := func(id string) {
 		w := job.Work{ID: id, Steps: []job.Step{{Count: 1, Estimate: time.Hour}}}
 		d.apply(g.ctx, placement.Submit{Durable: true, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}})
