Give each VM of a zone fences of its own without the store

Cause: the fence of a holder that the store could not confirm followed from the place of the VM among the VMs that it knew. A VM that another one did not know yet had the same fence as that one; workers take both for one holder, and none is rejected.

Change: with its registration, in the same conditional transaction, a VM writes a key samphireplank/slots/ZONE/N that must not exist. It keeps the slot across restarts. A VM without a slot does not hold a group without the store.

Left: the slots of VMs that are gone for good are not freed, as their registrations are not; a zone that has seen 63 names gives no further slots. A VM that restarts during an outage, and whose earlier incarnation held the group without the store, holds it again under the same fence, as before.

Failed before: TestUnconfirmedHoldersShareAFence, whose VMs now register with a store. Without the condition on the slot's key: TestVMsShareAFenceSlot.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,6 @@
 
 	"samphireplank.example/samphireplank/peer"
 	"samphireplank.example/samphireplank/placement"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/traffic"
 )
 
@@ -187,17 +186,16 @@
 
 // register keeps the VM's own entry in the store up to date.
 func (g *Gateway) register(ctx context.Context) {
-	key := vmPrefix + g.settings.VM
 	value, err := json.Marshal(registration{Zone: g.settings.Zone, Address: g.settings.PeerAddress, Incarnation: g.self.Incarnation, Weight: g.settings.CPUShare})
 	if err != nil {
 		g.log.Error().Str("event", "registration").Err(err).Msg("registration cannot be encoded")
 		return
 	}
+	skip := map[int]bool{}
 	for ctx.Err() == nil {
 		changed := g.cache.nextChange()
 		g.cache.mu.Lock()
 		known, ok := g.cache.vms[g.settings.VM]
-		revision := g.cache.items[key].Revision
 		read := !g.cache.lastContact.IsZero()
 		g.cache.mu.Unlock()
 		if !read || ok && known.Incarnation >= g.self.Incarnation {
@@ -207,11 +205,7 @@
 			}
 			continue
 		}
-		_, err := g.config.Store.Commit(ctx, store.Transaction{
-			Conditions: []store.Condition{{Key: key, Revision: revision}},
-			Puts:       []store.KeyValue{{Key: key, Value: value}},
-		})
-		if err != nil {
+		if err := g.registerOnce(ctx, value, skip); err != nil {
 			g.log.Warn().Str("event", "registration").Err(err).Msg("registration failed")
 		}
 		select {
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -212,15 +212,10 @@
 		return
 	}
 	state, record := g.groupState(group)
-	candidates := claim.Candidates(state.Index, state.Zone, append(otherVMs(state), state.Self))
-	fence := record.revision*fencesPerRevision + 1
-	for i, v := range candidates {
+	for _, v := range state.VMs {
 		if v.Name == record.VM && record.VM != g.settings.VM && v.SilentFor < unconfirmedHoldDelay && v.Incarnation <= record.Incarnation {
 			return
 		}
-		if v.Name == g.settings.VM {
-			fence += int64(i) % (fencesPerRevision - 1)
-		}
 	}
 	g.mu.Lock()
 	held := false
@@ -230,10 +225,8 @@
 	present := g.drivers[group] != nil
 	lost := g.fenceLosses[group]
 	g.mu.Unlock()
-	for fence <= lost.fence {
-		fence += int64(len(candidates)) // orders under the earlier fence may still be on their way
-	}
-	if held || present || fence >= (record.revision+1)*fencesPerRevision {
+	fence := g.slotFence(record.revision, lost.fence) // orders under the earlier fence may still be on their way
+	if held || present || fence == 0 {
 		return
 	}
 	g.log.Warn().Str("event", "claim-unconfirmed").Str("group", group).Int64("fence", fence).Msg("holding the group without the store")
@@ -372,14 +365,3 @@
 	}
 	return nil
 }
-
-// otherVMs returns the VMs of a state except this one.
-func otherVMs(s claim.GroupState) []claim.VM {
-	list := make([]claim.VM, 0, len(s.VMs)+1)
-	for _, v := range s.VMs {
-		if v.Name != s.Self.Name {
-			list = append(list, v)
-		}
-	}
-	return list
-}
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -75,6 +75,7 @@
 	vms             map[string]registration
 	holders         map[string]holderRecord
 	partitions      map[string]zonePartition // by zone
+	slots           map[string]string        // VM by key
 	lastWorkerAdded time.Time                // when the last worker was added
 	changed         chan struct{}            // closed by the next change
 	unavailable     bool                     // the last call of the store failed
@@ -86,7 +87,7 @@
 	return &storeCache{
 		decoder: codec, log: log, prefixes: watchedPrefixes(codec),
 		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, vms: map[string]registration{},
-		holders: map[string]holderRecord{}, partitions: map[string]zonePartition{}, changed: make(chan struct{}),
+		holders: map[string]holderRecord{}, partitions: map[string]zonePartition{}, slots: map[string]string{}, changed: make(chan struct{}),
 	}
 }
 
@@ -281,6 +282,8 @@
 			return
 		}
 		sc.vms[strings.TrimPrefix(key, vmPrefix)] = r
+	case strings.HasPrefix(key, slotPrefix):
+		sc.slots[key] = string(item.Value)
 	case strings.HasPrefix(key, partitionPrefix):
 		var s zonePartition
 		if err := json.Unmarshal(item.Value, &s); err != nil {
@@ -323,6 +326,8 @@
 		sc.unlistWorker(key)
 	case strings.HasPrefix(key, vmPrefix):
 		delete(sc.vms, strings.TrimPrefix(key, vmPrefix))
+	case strings.HasPrefix(key, slotPrefix):
+		delete(sc.slots, key)
 	case strings.HasPrefix(key, groupPrefix):
 		delete(sc.holders, strings.TrimPrefix(key, groupPrefix))
 	}
