Wait for workers that the next holder's list lacks

Cause: after a loss without a report the next holder starts a task again once all workers of its list have shown their runs. A worker that had only just registered was not on it, nor was one whose entry had expired more than 2.5 s before while its run went on.

Change: a VM reports, with each submission and heartbeat, the revision with which the newest worker entry that it knows of was created. The entries' revisions of creation pass with relays and copies. Removed workers are remembered for 30 s, also by a holder that has dropped one without having read it, and a job waits for those that were removed less than 5 s before it arrived. A VM that joins a job which runs on a worker that it does not know resumes it instead. An entry that is back within 2.5 s counts as the earlier one for 1 s, so that an outage of the store after which all entries are new stops no starts.

Left: durable jobs, whose VM is not asked; VMs of earlier versions, which report nothing, so that the list is trusted as before; a holder whose list shows a removal more than 1.5 s later than that of the next holder.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -179,7 +179,7 @@
 // newSubmit converts a peer's message to a message of the scheduler.
 func newSubmit(key placement.SubmissionKey, m peer.Submit) placement.Submit {
 	return placement.Submit{
-		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress, DelegatedStarts: m.Sends, Fence: m.Fence,
+		Key: key, Work: m.Work, Policy: m.Policy, Age: m.Age, Budget: m.Budget, Resumed: m.Resumed, Progress: m.Progress, DelegatedStarts: m.Sends, Fence: m.Fence, Known: m.Known,
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	links               map[string]*peerLink
 	inbound             map[*peer.Conn]uint64
 	permits             placement.Permits    // of the inbound connections, until their submissions are withdrawn
+	knownWorkers        map[uint64]int64     // newest worker entry that the VM knows of, likewise
 	followers           map[*peer.Conn]int64 // revision of the worker list sent to each follower
 	drivers             map[string]*groupDriver
 	pending             map[uint64]*pendingRequest
@@ -76,7 +77,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(bootClock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: newStoreCache(config.Decoder, log), meter: newMeter(), tasks: &errgroup.Group{},
-		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
+		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, knownWorkers: map[uint64]int64{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
 		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
 		holdWake: make(chan struct{}, 1),
@@ -227,7 +228,7 @@
 			return
 		case <-ticker.C:
 		}
-		heartbeat := peer.Heartbeat{Stopping: g.stopping.Load(), Listed: g.ownListRevision(time.Now())}
+		heartbeat := peer.Heartbeat{Stopping: g.stopping.Load(), Listed: g.ownListRevision(time.Now()), Known: g.cache.knownWorkers()}
 		g.relayWorkerChanges()
 		_, heartbeat.Configuration = g.cache.currentConfig()
 		for _, d := range g.allDrivers() {
@@ -265,9 +266,9 @@
 			return
 		case <-ticker.C:
 			g.checkPause(ctx)
-			permits := g.copyPermits()
+			tick := g.tick()
 			for _, d := range g.allDrivers() {
-				d.apply(ctx, placement.Tick{Permits: permits})
+				d.apply(ctx, tick)
 			}
 		}
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -296,6 +296,7 @@
 		}
 	case peer.Heartbeat:
 		h.g.extendPermit(h.connID(c), m.Echo)
+		h.g.recordKnownWorkers(h.connID(c), m.Known)
 		h.g.handleHeartbeat(c, nil, m)
 	case peer.Want:
 		c.Send(h.g.cache.copyFor(m.All))
@@ -380,6 +381,7 @@
 		h.g.mu.Lock()
 		defer h.g.mu.Unlock()
 		delete(h.g.permits, id)
+		delete(h.g.knownWorkers, id)
 	})
 }
 
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -28,8 +28,18 @@
 	return until
 }
 
-func (g *Gateway) copyPermits() placement.Permits {
+// tick returns a Tick with what the VMs have reported.
+func (g *Gateway) tick() placement.Tick {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return maps.Clone(g.permits)
+	return placement.Tick{Permits: maps.Clone(g.permits), Known: maps.Clone(g.knownWorkers)}
+}
+
+// recordKnownWorkers records the newest entry of the worker list that the VM of an inbound connection knows of.
+func (g *Gateway) recordKnownWorkers(connID uint64, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if revision > 0 {
+		g.knownWorkers[connID] = max(g.knownWorkers[connID], revision)
+	}
 }
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,6 +28,11 @@
 	watchWait = time.Second
 	// workerWatchInterval is the delay between two watches of the workers' entries.
 	workerWatchInterval = 400 * time.Millisecond
+	// unlistedMemory is how long removed workers are remembered, so that the next holder of a group waits for runs there.
+	unlistedMemory = 30 * time.Second
+	// maxListGap is the time without a confirmation of the worker list in which no worker can have registered, run a task and
+	// been removed, so that a list read afterwards does not lack it: entries expire after some seconds of silence.
+	maxListGap = 2 * time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
 	// storeStaleTime is the time without a response of the store, beyond one watch, after which the cache is stale and
@@ -46,6 +52,14 @@
 type unlistedWorker struct {
 	worker.Worker
 	since time.Time
+	added int64 // revision with which its entry was created
+}
+
+// relistedWorker is a worker whose entry has been back for a short time.
+type relistedWorker struct {
+	at          time.Time
+	unlistedFor time.Duration
+	added       int64 // revision with which its earlier entry was created
 }
 
 // holderRecord is the record of a group's holder with its revision.
@@ -71,6 +85,8 @@
 	configRaw       []byte
 	workers         map[string]worker.Worker
 	unlisted        map[string]unlistedWorker // by key
+	relisted        map[string]relistedWorker // by key
+	newestWorker    int64                     // highest revision with which an entry of a worker may have been created
 	workerLog       workerChangeLog
 	vms             map[string]registration
 	holders         map[string]holderRecord
@@ -80,13 +96,14 @@
 	changed         chan struct{}            // closed by the next change
 	unavailable     bool                     // the last call of the store failed
 	ownKeysRead     bool                     // the keys below ownPrefix, such as the holders, have been read
-	workersReadAt   time.Time                // when the workers were first read
+	workersReadAt   time.Time                // when the workers were first read, or read again after a gap
+	workersCurrent  time.Time                // when the list of workers was last confirmed
 }
 
 func newStoreCache(codec Decoder, log zerolog.Logger) *storeCache {
 	return &storeCache{
 		decoder: codec, log: log, prefixes: watchedPrefixes(codec),
-		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, vms: map[string]registration{},
+		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, relisted: map[string]relistedWorker{}, vms: map[string]registration{},
 		holders: map[string]holderRecord{}, partitions: map[string]zonePartition{}, slots: map[string]string{}, changed: make(chan struct{}),
 	}
 }
@@ -206,8 +223,11 @@
 	switch {
 	case part.name == ownPrefix:
 		sc.ownKeysRead = true
-	case part.name == sc.decoder.WorkerPrefix() && sc.workersReadAt.IsZero():
-		sc.workersReadAt = time.Now()
+	case part == sc.workerPrefix():
+		if now := time.Now(); now.Sub(sc.workersCurrent) > maxListGap {
+			sc.workersReadAt = now
+		}
+		sc.workersCurrent = time.Now()
 	}
 	sc.revision = max(sc.revision, revision)
 }
@@ -226,6 +246,9 @@
 	}
 	part.revision = max(part.revision, changes.Revision)
 	sc.revision = max(sc.revision, changes.Revision)
+	if part == sc.workerPrefix() {
+		sc.workersCurrent = sc.lastContact
+	}
 	if len(changes.Events) > 0 {
 		sc.notifyLocked()
 	}
@@ -262,8 +285,8 @@
 		w, err := sc.decoder.DecodeWorker(key, item.Value)
 		if err != nil {
 			sc.log.Warn().Str("event", "worker-malformed").Str("key", key).Err(err).Msg("worker entry ignored: it names no usable worker")
-			sc.workerLog.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision})
-			sc.unlistWorker(key)
+			sc.workerLog.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision, Created: item.Created})
+			sc.unlistWorker(key, item.Created)
 			return
 		}
 		before, known := sc.workers[key]
@@ -271,10 +294,14 @@
 			sc.lastWorkerAdded = time.Now()
 		}
 		if !known || !sameWorker(before, w) {
-			sc.workerLog.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision})
+			sc.workerLog.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision, Created: item.Created})
 		}
 		sc.workers[key] = w
-		delete(sc.unlisted, key)
+		sc.newestWorker = max(sc.newestWorker, cmp.Or(item.Created, item.Revision))
+		if u, ok := sc.unlisted[key]; ok {
+			sc.relisted[key] = relistedWorker{time.Now(), time.Since(u.since), u.added}
+			delete(sc.unlisted, key)
+		}
 	case strings.HasPrefix(key, vmPrefix):
 		var r registration
 		if err := json.Unmarshal(item.Value, &r); err != nil {
@@ -319,11 +346,12 @@
 
 // removeItem applies the removal of a key at a revision.
 func (sc *storeCache) removeItem(key string, revision int64) {
+	added := sc.items[key].Created
 	delete(sc.items, key)
 	switch {
 	case strings.HasPrefix(key, sc.decoder.WorkerPrefix()):
 		sc.workerLog.add(peer.WorkerChange{Key: key, Revision: revision, Removed: true})
-		sc.unlistWorker(key)
+		sc.unlistWorker(key, added)
 	case strings.HasPrefix(key, vmPrefix):
 		delete(sc.vms, strings.TrimPrefix(key, vmPrefix))
 	case strings.HasPrefix(key, slotPrefix):
@@ -340,10 +368,10 @@
 	return sc.workersReadAt.IsZero() || time.Since(sc.workersReadAt) < grace
 }
 
-// unlistWorker moves a worker that is no longer listed to the unlisted ones, which are kept for a grace period.
-func (sc *storeCache) unlistWorker(key string) {
+// unlistWorker moves a worker that is no longer listed to the unlisted ones, which are kept for unlistedMemory.
+func (sc *storeCache) unlistWorker(key string, added int64) {
 	if w, ok := sc.workers[key]; ok {
-		sc.unlisted[key] = unlistedWorker{w, time.Now()}
+		sc.unlisted[key] = unlistedWorker{w, time.Now(), added}
 		delete(sc.workers, key)
 	}
 }
@@ -356,13 +384,16 @@
 	if !all {
 		return c
 	}
-	c.Parts, c.Keys, c.Revisions = map[string]int64{}, map[string][]byte{}, map[string]int64{}
+	c.Parts, c.Keys, c.Revisions, c.Created = map[string]int64{}, map[string][]byte{}, map[string]int64{}, map[string]int64{}
 	for _, part := range sc.prefixes {
 		c.Parts[part.name] = part.revision
 	}
 	for key, item := range sc.items {
 		if key != sc.decoder.ConfigurationKey() {
 			c.Keys[key], c.Revisions[key] = item.Value, item.Revision
+			if strings.HasPrefix(key, sc.decoder.WorkerPrefix()) {
+				c.Created[key] = item.Created
+			}
 		}
 	}
 	return c
@@ -383,7 +414,7 @@
 		var items []store.KeyValue
 		for key, value := range c.Keys {
 			if strings.HasPrefix(key, part.name) {
-				items = append(items, store.KeyValue{Key: key, Value: value, Revision: c.Revisions[key]})
+				items = append(items, store.KeyValue{Key: key, Value: value, Revision: c.Revisions[key], Created: c.Created[key]})
 			}
 		}
 		sc.replaceAll(part, c.Parts[part.name], items)
@@ -425,28 +456,51 @@
 	sc.notifyLocked()
 }
 
-// workerList returns the workers of a group, and the removed ones of the last grace period; older ones are deleted.
+// workerList returns the workers of a group, and the removed ones of the last unlistedMemory; older ones are deleted. The
+// entries of workers that are back within the grace period count as the earlier ones for placement.RelistTime.
 func (sc *storeCache) workerList(group string, grace time.Duration) (list placement.WorkerList, known bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	for _, w := range sc.workers {
+	now := time.Now()
+	list.Added, list.Revision, list.RemovalsSince = map[string]int64{}, sc.workerPrefix().revision, sc.workersReadAt
+	if oldest := now.Add(-unlistedMemory); list.RemovalsSince.Before(oldest) {
+		list.RemovalsSince = oldest
+	}
+	for key, w := range sc.workers {
 		if of, ok := sc.groupOf(w); ok && of == group {
 			list.Workers = append(list.Workers, w)
+			list.Added[w.ID] = sc.items[key].Created
+			if r, ok := sc.relisted[key]; ok && r.unlistedFor < grace && now.Sub(r.at) < placement.RelistTime {
+				list.Added[w.ID] = min(r.added, list.Added[w.ID])
+			}
 		}
 	}
 	for key, w := range sc.unlisted {
-		since := time.Since(w.since)
-		if since > grace {
+		since := now.Sub(w.since)
+		if since > unlistedMemory {
 			delete(sc.unlisted, key)
 			continue
 		}
 		if of, ok := sc.groupOf(w.Worker); ok && of == group {
 			list.Removed = append(list.Removed, placement.RemovedWorker{Worker: w.Worker, Elapsed: since})
+			list.Added[w.ID] = w.added
+		}
+	}
+	for key, r := range sc.relisted {
+		if now.Sub(r.at) >= placement.RelistTime {
+			delete(sc.relisted, key)
 		}
 	}
 	return list, len(sc.items) > 0
 }
 
+// knownWorkers returns the revision with which the newest entry of a worker was created that this VM knows of, at least 1.
+func (sc *storeCache) knownWorkers() int64 {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return max(sc.newestWorker, 1)
+}
+
 // peersInZone returns the first maxZonePeers candidates for holding groups of a zone; the caller holds the lock.
 func (sc *storeCache) peersInZone(zone string) []string {
 	var vms []claim.VM
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -420,7 +420,7 @@
 	remaining := time.Until(r.deadline)
 	m := peer.Submit{
 		Sequence: g.nextRequest.Add(1), Group: group, Work: r.Work, Policy: r.Policy, Age: time.Since(r.arrived), Budget: remaining,
-		Resumed: r.resumed, Progress: r.progress, Fence: r.fences[group],
+		Resumed: r.resumed, Progress: r.progress, Fence: r.fences[group], Known: g.cache.knownWorkers(),
 	}
 	r.fences[group] = max(r.fences[group], h.fence)
 	if g.shouldSendStarts(r, group, h) {
--- a/gateway/worker_list.go
+++ b/gateway/worker_list.go
@@ -202,6 +202,7 @@
 	defer sc.mu.Unlock()
 	part := sc.workerPrefix()
 	part.revision = max(part.revision, revision)
+	sc.workersCurrent = time.Now()
 }
 
 // workerChanges returns the changes of the worker list after a revision, or the whole list if the log no longer has
@@ -214,7 +215,7 @@
 		m.Whole, m.To = true, sc.workerPrefix().revision
 		for key, item := range sc.items {
 			if strings.HasPrefix(key, sc.decoder.WorkerPrefix()) {
-				m.Changes = append(m.Changes, peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision})
+				m.Changes = append(m.Changes, peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision, Created: item.Created})
 			}
 		}
 		return m
@@ -237,17 +238,18 @@
 	case m.Whole:
 		items := make([]store.KeyValue, 0, len(m.Changes))
 		for _, c := range m.Changes {
-			items = append(items, store.KeyValue{Key: c.Key, Value: c.Value, Revision: c.Revision})
+			items = append(items, store.KeyValue{Key: c.Key, Value: c.Value, Revision: c.Revision, Created: c.Created})
 		}
 		sc.replaceAll(part, m.To, items)
 	case m.From > part.revision:
 		return false
 	default:
 		for _, c := range m.Changes {
-			sc.applyEvent(part, store.Event{KeyValue: store.KeyValue{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Removed})
+			sc.applyEvent(part, store.Event{KeyValue: store.KeyValue{Key: c.Key, Value: c.Value, Revision: c.Revision, Created: c.Created}, Deleted: c.Removed})
 		}
 		part.revision = max(part.revision, m.To)
 		sc.revision = max(sc.revision, m.To)
+		sc.workersCurrent = time.Now()
 	}
 	if len(m.Changes) > 0 {
 		sc.notifyLocked()
--- a/peer/message.go
+++ b/peer/message.go
@@ -37,6 +37,7 @@
 	Holds         []Holding
 	Configuration int64 // revision of the configuration that the VM runs
 	Listed        int64 // revision up to which the VM has read the worker list from the store itself, 0 if it is no watcher
+	Known         int64 // revision of the newest entry of the worker list that the VM knows of
 	Stopping      bool
 	Often         bool // the sender asks for frequent heartbeats on this connection
 	Clock         time.Duration
@@ -56,6 +57,7 @@
 	Sends    bool // the submitting VM sends the start orders to workers itself, so the work has no spec
 	Echo     time.Duration
 	Fence    int64 // highest fence of the holders of the group that may have acted on the job
+	Known    int64 // revision of the newest entry of the worker list that the VM knows of
 }
 
 // Orders asks the VM that submitted a job to send its start orders to workers.
@@ -137,6 +139,7 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	Created  int64 // revision with which the entry was created; earlier versions do not send it
 	Removed  bool
 }
 
@@ -158,6 +161,7 @@
 	Keys          map[string][]byte
 	Parts         map[string]int64 // revision of the store up to which the keys with a prefix are known, by prefix
 	Revisions     map[string]int64 // of the keys
+	Created       map[string]int64 // revisions with which the keys were created; earlier versions do not send them
 }
 
 func (Hello) message()         {}
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -55,6 +55,7 @@
 	t := &js.steps[i].tasks[j]
 	t.lastRun = max(t.lastRun, f.number)
 	js.mayHaveStarted, js.started = true, true
+	js.newestWorker = max(js.newestWorker, f.worker.added)
 	s.logEvent("run-adopted", js.work.ID, f.worker.ID, "", map[string]int64{"run": int64(f.number)})
 	if f.done {
 		s.completeTask(js, i, j)
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -27,6 +27,8 @@
 	closed         bool      // answered; its remaining runs are being stopped
 	closedAt       time.Time // or when the permit of its last submission expired, if that is earlier
 	permitExpiry   time.Time // of the submission withdrawn last; zero if it needed no permit
+	priorKnown     int64     // newest worker entry that the VM of a resumed job knew of
+	newestWorker   int64     // newest entry of a worker that has or had a run of the job here
 	observed       bool      // a run time of the job was learned
 	rank           float64
 	lateness       int           // result of Scheduler.lateness at the last placement
@@ -149,7 +151,13 @@
 		s.submitDurable(m)
 		return
 	}
+	s.reportKnown(m.Key.Conn, m.Known)
 	if same := s.jobs[m.Work.ID]; same != nil && !same.closed {
+		if same.ranBeyond(m.Known) {
+			// Its VM could not tell the next holder that the job may run on these workers.
+			s.emit(Reply{m.Key, HandedOver{Progress: same.progress(s.runs, s.orphans, s.now)}})
+			return
+		}
 		same.keys[m.Key] = struct{}{}
 		same.addSubmission(m)
 		s.submissions[m.Key] = same
@@ -200,6 +208,7 @@
 		js.remaining += spec.Count
 	}
 	if m.Resumed {
+		js.priorKnown = m.Known
 		js.restoreProgress(m.Progress)
 		s.renumberGangs(js)
 	}
@@ -280,6 +289,7 @@
 		}
 	}
 	delete(s.permits, conn)
+	delete(s.known, conn)
 }
 
 // closeJob answers a job and stops its remaining runs.
--- a/placement/message.go
+++ b/placement/message.go
@@ -20,6 +20,10 @@
 type WorkerList struct {
 	Workers []worker.Worker
 	Removed []RemovedWorker // workers whose entries have recently disappeared
+	// Added holds the revisions with which the entries of workers were created, by id, as far as they are known.
+	Added         map[string]int64
+	Revision      int64     // up to which all changes are included, 0 if unknown
+	RemovalsSince time.Time // workers removed before may be missing in Removed
 }
 
 // RemovedWorker is a worker whose entry has disappeared: it may have stopped, or be partitioned from the store and
@@ -43,6 +47,7 @@
 	DelegatedStarts bool          // the submitting VM sends the start orders, and Work has no spec
 	PermitUntil     time.Time     // initial permit of the connection, see Permits; zero if it needs none
 	Fence           int64         // highest fence of the holders of the group that may have acted on the job
+	Known           int64         // revision of the newest worker entry that the VM knows of, 0 if unknown
 }
 
 // Progress is the known progress of a job that another holder has run.
@@ -131,6 +136,8 @@
 type Tick struct {
 	// Permits holds, by connection, until when the holder may act on submissions. It only extends the known permits.
 	Permits Permits
+	// Known holds, by connection, the revision of the newest worker entry that the VM knows of.
+	Known map[uint64]int64
 }
 
 // HandOver stops the Scheduler, which reports the progress of its jobs to their submitters.
--- a/placement/run.go
+++ b/placement/run.go
@@ -42,6 +42,7 @@
 	t.lastRun++
 	js.queuedTasks--
 	js.mayHaveStarted = true
+	js.newestWorker = max(js.newestWorker, w.added)
 	sound := s.expectedDuration(js, i)
 	expected := time.Duration(float64(sound) * w.health.slowdown)
 	r := &run{
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -38,6 +38,11 @@
 	siblingRatios   ratioDistribution         // of run times to those of the other tasks of the step
 	startRTT        rttEstimator
 	permits         Permits
+	known           map[uint64]int64     // revision of the newest worker entry that a VM knows of, by connection
+	listRevision    int64                // up to which the worker list is complete
+	removalsSince   time.Time            // removals from the worker list before are not known
+	listed          bool                 // a worker list has been received
+	forgotten       map[string]time.Time // when workers were removed that have not shown their runs, by id
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
 	unpersisted     []*jobState          // durable jobs with unpersisted changes
 	deferredEnds    []deferredEnd
@@ -64,6 +69,8 @@
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
 		permits:         Permits{},
+		known:           map[uint64]int64{},
+		forgotten:       map[string]time.Time{},
 		runRatios:       newRatioDistribution(),
 		siblingRatios:   newRatioDistribution(),
 	}
@@ -170,6 +177,9 @@
 	for conn, until := range m.Permits {
 		s.extendPermit(conn, until)
 	}
+	for conn, revision := range m.Known {
+		s.reportKnown(conn, revision)
+	}
 	s.releaseExpired()
 	for _, w := range s.sortedWorkers {
 		s.expireLease(w)
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -11,6 +11,7 @@
 type workerState struct {
 	worker.Worker
 	removed         time.Time // when its entry disappeared; zero while it is listed
+	added           int64     // revision with which its entry was created, 0 if unknown
 	synced          bool      // the worker has responded to a poll under the current fence
 	incarnation     int64
 	incarnationAt   time.Time     // when a response or the list first showed the incarnation
@@ -33,12 +34,13 @@
 // updateWorkers applies a new list of workers.
 func (s *Scheduler) updateWorkers(m WorkerList) {
 	listed := map[string]bool{}
+	s.listRevision, s.removalsSince = m.Revision, m.RemovalsSince
 	for _, entry := range m.Workers {
 		listed[entry.ID] = true
 		w := s.workers[entry.ID]
 		if w != nil && w.Address == entry.Address {
 			wasDraining := w.Draining
-			w.Worker, w.removed = entry, time.Time{}
+			w.Worker, w.removed, w.added = entry, time.Time{}, m.Added[entry.ID]
 			// The listed entry may be older than the worker's last response.
 			if entry.Incarnation > w.incarnation && w.incarnation != 0 {
 				s.workerRestarted(w, entry.Incarnation, nil)
@@ -52,16 +54,20 @@
 		if w != nil {
 			s.loseRuns(w, "listed at another address")
 		}
-		s.addWorker(entry)
+		s.addWorker(entry).added = m.Added[entry.ID]
+		delete(s.forgotten, entry.ID)
 		s.logEvent("worker-added", "", entry.ID, "listed", nil)
 	}
 	for _, entry := range m.Removed {
-		if s.workers[entry.ID] == nil && entry.Elapsed < s.rules.RemovalGrace {
-			s.addWorker(entry.Worker).removed = s.now.Add(-entry.Elapsed)
+		// Later lists show workers again that this scheduler has dropped.
+		if s.workers[entry.ID] == nil && (entry.Elapsed < s.rules.RemovalGrace || !s.listed) {
+			w := s.addWorker(entry.Worker)
+			w.removed, w.added = s.now.Add(-entry.Elapsed), m.Added[entry.ID]
 			listed[entry.ID] = true
 			s.logEvent("worker-added", "", entry.ID, "no longer listed, may still run tasks", map[string]int64{"unlisted-ms": ms(entry.Elapsed)})
 		}
 	}
+	s.listed = s.listed || len(m.Workers)+len(m.Removed) > 0
 	for id, w := range s.workers {
 		if !listed[id] && w.removed.IsZero() {
 			w.removed = s.now
@@ -102,6 +108,7 @@
 			continue // the worker still responds and will report how its runs end
 		}
 		s.loseRuns(w, "unlisted worker is unreachable")
+		s.forget(w)
 		delete(s.workers, id)
 		dropped = true
 	}
--- a/store/keyspace.go
+++ b/store/keyspace.go
@@ -17,6 +17,7 @@
 	Key      string
 	Value    []byte
 	Revision int64 // of the last change
+	Created  int64 // revision with which the key was created, 0 if unknown
 }
 
 // Event is a change of a key.
