Play worker lists that lag behind each other

TestLaggingWorkerLists: entries of workers come, expire and return at random; the lists of the holders and of the VM of the jobs receive them up to 1.2 s late, each by its own time; six holders are lost without a report. No task may run twice at a time.

--- a/placement/known_worker_test.go
+++ b/placement/known_worker_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -187,3 +188,177 @@
 	_, completed := sg.verdicts[joined].(Completed)
 	is.True(completed)
 }
+
+// entryChange is a change of the worker list: a new entry of a worker, or its removal.
+type entryChange struct {
+	revision int64
+	at       time.Time
+	id       string
+	removed  bool
+}
+
+// laggingView is what a VM knows of the worker list, whose changes it receives late.
+type laggingView struct {
+	lag    time.Duration
+	seen   int         // number of changes received
+	seenAt []time.Time // by change
+}
+
+// listHistory plays workers whose entries come and go while they run tasks, before VMs whose lists lag.
+type listHistory struct {
+	*history
+	changes []entryChange
+	views   []*laggingView // of the VM of the jobs and of the VMs that hold the group in turn
+	holder  int
+	conn    uint64
+}
+
+func (h *listHistory) change(id string, removed bool) {
+	h.changes = append(h.changes, entryChange{int64(100 + len(h.changes)), h.now, id, removed})
+}
+
+// update lets a view receive the changes up to some time ago.
+func (h *listHistory) update(v *laggingView) {
+	if h.rand.IntN(10) == 0 {
+		v.lag = time.Duration(h.rand.IntN(1200)) * time.Millisecond
+	}
+	upTo := h.now.Add(-v.lag)
+	for v.seen < len(h.changes) && !h.changes[v.seen].at.After(upTo) {
+		v.seen++
+		v.seenAt = append(v.seenAt, h.now)
+	}
+	h.after(time.Duration(50+h.rand.IntN(250))*time.Millisecond, func() { h.update(v) })
+}
+
+// list returns the list of a view as a VM passes it to its scheduler.
+func (h *listHistory) list(v *laggingView) WorkerList {
+	list := WorkerList{Added: map[string]int64{}, RemovalsSince: h.start.Add(-time.Hour)}
+	last, before := map[string]int{}, map[string]int{}
+	for i, c := range h.changes[:v.seen] {
+		list.Revision = c.revision
+		before[c.id], last[c.id] = last[c.id], i
+	}
+	for _, id := range h.workerIDs {
+		i, ok := last[id]
+		switch {
+		case !ok:
+		case h.changes[i].removed:
+			list.Removed = append(list.Removed, RemovedWorker{Worker: h.workers[id].Worker, Elapsed: h.now.Sub(v.seenAt[i])})
+			list.Added[id] = h.changes[before[id]].revision
+		default:
+			list.Workers = append(list.Workers, h.workers[id].Worker)
+			list.Added[id] = h.changes[i].revision
+			if r := before[id]; r > 0 && h.changes[r].removed && v.seenAt[i].Sub(v.seenAt[r]) < h.rules.RemovalGrace && h.now.Sub(v.seenAt[i]) < RelistTime {
+				for j := r; j >= 0; j-- {
+					if c := h.changes[j]; c.id == id && !c.removed {
+						list.Added[id] = c.revision
+						break
+					}
+				}
+			}
+		}
+	}
+	return list
+}
+
+// newest returns the newest entry that the VM of the jobs knows of.
+func (h *listHistory) newest() int64 {
+	newest := int64(1)
+	for _, c := range h.changes[:h.views[0].seen] {
+		if !c.removed {
+			newest = max(newest, c.revision)
+		}
+	}
+	return newest
+}
+
+func (h *listHistory) submitJob(j *simJob, resumed bool) {
+	simSequence++
+	key := SubmissionKey{Conn: h.conn, Sequence: simSequence}
+	h.jobs[key], h.knownJobs[j.work.ID] = j, j
+	h.step(h.scheduler, Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 10 * time.Second, Resumed: resumed, Known: h.newest()})
+}
+
+// loseHolder replaces the holder without a report, and with some workers out of the next one's reach.
+func (h *listHistory) loseHolder() {
+	h.holder = 1 + h.holder%(len(h.views)-1)
+	view := h.views[h.holder]
+	h.lists = func() WorkerList { return h.list(view) }
+	var left []*simJob
+	for _, key := range h.withoutVerdict() {
+		left = append(left, h.jobs[key])
+		delete(h.jobs, key)
+	}
+	h.conn++
+	for _, id := range h.workerIDs {
+		if w := h.workers[id]; h.rand.IntN(3) == 0 {
+			w.unreachable = true
+			h.after(time.Duration(h.rand.IntN(2500))*time.Millisecond, func() { w.unreachable = false })
+		}
+	}
+	h.replaceScheduler()
+	for _, j := range left {
+		h.after(time.Duration(h.rand.IntN(200))*time.Millisecond, func() { h.submitJob(j, true) })
+	}
+}
+
+// entries lets the entry of a worker expire and come back while the worker goes on.
+func (h *listHistory) entries(id string) {
+	h.change(id, false)
+	h.after(time.Duration(500+h.rand.IntN(7000))*time.Millisecond, func() {
+		h.change(id, true)
+		h.after(time.Duration(100+h.rand.IntN(6000))*time.Millisecond, func() { h.entries(id) })
+	})
+}
+
+// Guards against two runs of a task at a time while the lists of the holder, of the next holder and of the VM of the jobs lag
+// behind registrations and removals by random times.
+func TestLaggingWorkerLists(t *testing.T) {
+	for seed := range uint64(2 * *seeds) {
+		func() {
+			defer func() {
+				if t.Failed() {
+					t.Logf("seed %d", seed)
+				}
+			}()
+			playLaggingLists(t, seed)
+		}()
+	}
+}
+
+// playLaggingLists plays a history of 15 s.
+func playLaggingLists(t *testing.T, seed uint64) {
+	h := &listHistory{history: &history{simGroup: newSimGroup(t, seed, 5), length: 15 * time.Second}, conn: 1, holder: 1}
+	h.change("", true) // so that the revisions and indexes of workers' changes are above 0
+	for range 4 {
+		v := &laggingView{}
+		h.views = append(h.views, v)
+		h.update(v)
+	}
+	for _, id := range h.workerIDs {
+		h.after(time.Duration(h.rand.IntN(3000))*time.Millisecond, func() { h.entries(id) })
+	}
+	h.lists = func() WorkerList { return h.list(h.views[1]) }
+	h.replaceScheduler()
+	var heartbeat func()
+	heartbeat = func() {
+		h.step(h.scheduler, Tick{Known: map[uint64]int64{h.conn: h.newest()}})
+		h.after(150*time.Millisecond, heartbeat)
+	}
+	h.after(0, heartbeat)
+	for i := range 60 {
+		h.atRandomTime(func() {
+			length := time.Duration(200+h.rand.IntN(2000)) * time.Millisecond
+			w := job.Work{ID: fmt.Sprintf("%016x", i+1), Spec: "s", BestEffort: true, Steps: []job.Step{{Count: 1 + h.rand.IntN(3), Estimate: length, Need: worker.Resources{MilliCores: 20000}}}}
+			p := job.Policy{Route: "caller", Service: "cue", MaxAttempts: 9, Stretch: 3, Target: 5 * time.Second}
+			h.submitJob(&simJob{work: w, policy: p, sent: h.now, length: length}, false)
+		})
+	}
+	for range 6 {
+		h.atRandomTime(h.loseHolder)
+	}
+	h.run(h.length + 5*time.Second) // simGroup fails the test if a task runs twice at a time
+	if h.starts == 0 || h.generations != 8 {
+		t.Fatalf("%d starts, %d holders", h.starts, h.generations)
+	}
+}
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -29,6 +29,7 @@
 	logs           []timedLogEvent
 	listed         WorkerList
 	listedAt       time.Time
+	lists          func() WorkerList // replaces the updates of listed; may be nil
 	fenced         bool
 	link           simLink
 	senderConns    uint64          // number of VMs that send the starts of their jobs; their connections count from 1
@@ -218,6 +219,9 @@
 
 // list returns the worker entries, which are updated every listInterval.
 func (sg *simGroup) list() WorkerList {
+	if sg.lists != nil {
+		return sg.lists()
+	}
 	if sg.listed.Workers == nil || sg.now.Sub(sg.listedAt) >= listInterval {
 		sg.listed, sg.listedAt = WorkerList{}, sg.now
 		for _, id := range sg.workerIDs {
