--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,6 @@
 
 	"samphireplank.example/samphireplank/peer"
 	"samphireplank.example/samphireplank/placement"
-	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/traffic"
 )
 
@@ -47,6 +46,7 @@
 	links               map[string]*peerLink
 	inbound             map[*peer.Conn]uint64
 	permits             placement.Permits            // of the inbound connections, until their submissions are withdrawn
+	knownWorkers        map[uint64]int64             // newest worker entry that the VM knows of, likewise
 	confirmations       map[string]peer.Confirmation // last one of each VM
 	followers           map[*peer.Conn]int64         // revision of the worker list sent to each follower
 	drivers             map[string]*groupDriver
@@ -78,7 +78,7 @@
 		config: config, settings: config.Settings, log: log, self: self,
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(bootClock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: newStoreCache(config.Decoder, log), meter: newMeter(), tasks: &errgroup.Group{},
-		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
+		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, knownWorkers: map[uint64]int64{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
 		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
 		holdWake: make(chan struct{}, 1),
@@ -188,17 +188,16 @@
 
 // register keeps the VM's own entry in the store up to date.
 func (g *Gateway) register(ctx context.Context) {
-	key := vmPrefix + g.settings.VM
 	value, err := json.Marshal(registration{Zone: g.settings.Zone, Address: g.settings.PeerAddress, Incarnation: g.self.Incarnation, Weight: g.settings.CPUShare})
 	if err != nil {
 		g.log.Error().Str("event", "registration").Err(err).Msg("registration cannot be encoded")
 		return
 	}
+	skip := map[int]bool{}
 	for ctx.Err() == nil {
 		changed := g.cache.nextChange()
 		g.cache.mu.Lock()
 		known, ok := g.cache.vms[g.settings.VM]
-		revision := g.cache.items[key].Revision
 		read := !g.cache.lastContact.IsZero()
 		g.cache.mu.Unlock()
 		if !read || ok && known.Incarnation >= g.self.Incarnation {
@@ -208,11 +207,7 @@
 			}
 			continue
 		}
-		_, err := g.config.Store.Commit(ctx, store.Transaction{
-			Conditions: []store.Condition{{Key: key, Revision: revision}},
-			Puts:       []store.KeyValue{{Key: key, Value: value}},
-		})
-		if err != nil {
+		if err := g.registerOnce(ctx, value, skip); err != nil {
 			g.log.Warn().Str("event", "registration").Err(err).Msg("registration failed")
 		}
 		select {
@@ -234,7 +229,7 @@
 			return
 		case <-ticker.C:
 		}
-		heartbeat := peer.Heartbeat{Stopping: g.stopping.Load(), Listed: g.ownListRevision(time.Now())}
+		heartbeat := peer.Heartbeat{Stopping: g.stopping.Load(), Listed: g.ownListRevision(time.Now()), Known: g.cache.knownWorkers()}
 		g.relayWorkerChanges()
 		_, heartbeat.Configuration = g.cache.currentConfig()
 		for _, d := range g.allDrivers() {
@@ -274,9 +269,9 @@
 			return
 		case <-ticker.C:
 			g.checkPause(ctx)
-			permits := g.copyPermits()
+			tick := g.tick()
 			for _, d := range g.allDrivers() {
-				d.apply(ctx, placement.Tick{Permits: permits})
+				d.apply(ctx, tick)
 			}
 		}
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -40,6 +40,11 @@
 	permits         Permits
 	durablePermit   time.Time            // zero if there is no limit
 	durableStopped  bool                 // the end of the permit was logged
+	known           map[uint64]int64     // revision of the newest worker entry that a VM knows of, by connection
+	listRevision    int64                // up to which the worker list is complete
+	removalsSince   time.Time            // removals from the worker list before are not known
+	listed          bool                 // a worker list has been received
+	forgotten       map[string]time.Time // when workers were removed that have not shown their runs, by id
 	durableJobs     map[string]*jobState // durable jobs until their end is persisted
 	unpersisted     []*jobState          // durable jobs with unpersisted changes
 	deferredEnds    []deferredEnd
@@ -66,6 +71,8 @@
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
 		permits:         Permits{},
+		known:           map[uint64]int64{},
+		forgotten:       map[string]time.Time{},
 		runRatios:       newRatioDistribution(),
 		siblingRatios:   newRatioDistribution(),
 	}
@@ -175,6 +182,9 @@
 	for conn, until := range m.Permits {
 		s.extendPermit(conn, until)
 	}
+	for conn, revision := range m.Known {
+		s.reportKnown(conn, revision)
+	}
 	s.releaseExpired()
 	s.logDurablePermit()
 	for _, w := range s.sortedWorkers {
