Wait for the kill of an expired lease's runs before another start

Cause: a worker is given up once its last lease has expired: 2% of drift and 20 ms, of which the kill had to be a part. The platform allows 50 ms for a kill (PROTOCOL, stop_ms), and the sum of permit and lease assumed that. The drift was too small besides: a lease of L on a clock that is 2% slow lasts L/0.98, not 1.02 L.

Change: Rules.KillTime, added wherever a run counts as ended because a lease has expired: leases of this holder (extendLease), of an earlier one (syncWorker, adoptJob, submitDurable), and both sides of leaseOutlastsPermit. No lease and no permit is longer; leaseError holds the drift only, 20.4 ms instead of 40. KillTime is 100 ms, twice what the platform allows, since a busy machine delays the worker's timer and the kill; it is also what the sum bears: 0.75 + 0.40 + 0.0204 + 0.013 + 0.100 = 1.2834 s, below the 1.29 s after which runs of a lost holder count as ended. A worker that takes longer than 100 ms is not covered.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -32,7 +32,7 @@
 				t.priorRunUntil = s.now.Add(s.rules.LostHolderTimeout)
 			case t.priorRunWorker != "":
 				// The earlier holder may have renewed the lease just before it handed the job over.
-				t.priorRunUntil = s.now.Add(s.rules.LeaseDuration + s.leaseError())
+				t.priorRunUntil = s.runsEnd(s.rules.LeaseDuration)
 			}
 		}
 	}
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -47,7 +47,7 @@
 	s.durableJobs[js.work.ID], s.jobs[js.work.ID] = js, js
 	if m.Resumed || !s.allSynced() {
 		// An earlier holder may have started tasks on a worker that has not reported its runs yet.
-		js.priorRunsUntil = s.now.Add(time.Duration(float64(s.rules.LeaseDuration)*(1+s.rules.ClockDrift)) + leaseSlack)
+		js.priorRunsUntil = s.runsEnd(s.rules.LeaseDuration)
 	}
 	s.releaseReadySteps(js)
 	for i := range js.steps {
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -105,10 +105,10 @@
 // lease that was granted for other jobs can't be shortened.
 func (s *Scheduler) leaseOutlastsPermit(js *jobState, w *workerState) bool {
 	until, limited := s.permit(js)
-	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()))
+	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()+s.rules.KillTime))
 }
 
 // leaseError is the maximum time by which a lease lasts longer than its nominal length.
 func (s *Scheduler) leaseError() time.Duration {
-	return time.Duration(s.rules.ClockDrift*float64(s.rules.LeaseDuration)) + leaseSlack
+	return s.maxElapsed(s.rules.LeaseDuration) - s.rules.LeaseDuration
 }
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -6,6 +6,7 @@
 type Rules struct {
 	LeaseDuration       time.Duration // max lease of a worker, set by the platform
 	ClockDrift          float64       // share by which a worker's clock may run slow, set by the platform
+	KillTime            time.Duration // that a worker takes to kill the runs of an expired lease: 50 ms, twice that on a busy machine
 	MaxPollWait         time.Duration // max wait of a poll; the remaining lease allows two more tries
 	MinPollWait         time.Duration // min wait of a poll, while a run is overdue
 	StartTimeout        time.Duration // of start and stop orders; the network takes 1 to 2 ms, tasks of urgent jobs 60 ms
@@ -31,6 +32,7 @@
 	return Rules{
 		LeaseDuration:       time.Second,
 		ClockDrift:          0.02,
+		KillTime:            100 * time.Millisecond,
 		MaxPollWait:         600 * time.Millisecond,
 		MinPollWait:         60 * time.Millisecond,
 		StartTimeout:        60 * time.Millisecond,
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -22,7 +22,7 @@
 	handledSequence int64              // sequence of the last ended run that was processed
 	ackedSequence   int64              // last sequence that was acknowledged to the worker
 	pendingAcks     map[int64]struct{} // sequences of ended runs that must not be acknowledged yet
-	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired by then
+	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired and its runs are killed by then
 	polling         bool
 	lastPollAt      time.Time
 	unansweredCalls int // consecutive calls without a response
@@ -169,15 +169,21 @@
 func (s *Scheduler) extendLease(w *workerState) time.Duration {
 	length := s.maxLease(w)
 	// The worker's clock is never behind the estimate, so the lease cannot last longer than this.
-	until := s.now.Add(time.Duration(float64(length)*(1+s.rules.ClockDrift)) + leaseSlack)
-	if until.After(w.leaseExpiry) {
+	if until := s.runsEnd(length); until.After(w.leaseExpiry) {
 		w.leaseExpiry = until
 	}
 	return s.clockLowerBound(w) + length
 }
 
-// leaseSlack covers rounding of the worker's clock to milliseconds and the time a worker takes to kill runs.
-const leaseSlack = 20 * time.Millisecond
+// runsEnd returns the time by which a worker has killed its runs under a lease of the given length that is granted now.
+func (s *Scheduler) runsEnd(length time.Duration) time.Time {
+	return s.now.Add(s.maxElapsed(length) + s.rules.KillTime)
+}
+
+// maxElapsed returns the longest time that passes while a worker's clock advances by the given time.
+func (s *Scheduler) maxElapsed(advance time.Duration) time.Duration {
+	return time.Duration(float64(advance) / (1 - s.rules.ClockDrift))
+}
 
 // usable reports whether new tasks may be sent to the worker.
 func (s *Scheduler) usable(w *workerState) bool {
@@ -314,7 +320,7 @@
 		s.orphans[r.Task] = orphanedRun{worker: w, number: r.Number, until: until}
 		s.adoptRun(r.Task)
 	}
-	w.leaseExpiry = s.now.Add(s.rules.LeaseDuration + s.leaseError()) // granted by the earlier holder
+	w.leaseExpiry = s.runsEnd(s.rules.LeaseDuration) // granted by the earlier holder
 	if w.unknownRuns > 0 {
 		// The lease is not renewed for runs that no entry VM has resumed yet: the VM of their jobs may be gone too, and
 		// its callers rely on the earlier holder's last lease.
