Stop an unanswered start again when its worker has restarted

Cause: a run that was being stopped already when its worker restarted got no stop for the new incarnation (stopRun returns at once), and counted as settled by the answer of the earlier one. A start that had been sent once counted as carried out as soon as its stop was answered, and was given up at once. Its order, up to seconds late, is carried out by the new incarnation.

Change: a run counts its start orders that may still be carried out: sent, but neither answered nor, for one of them, listed. While there is one, a restart sends the stop again and forgets the earlier answer. Runs whose starts are all answered are given up at once, also after two tries.

--- /dev/null
+++ b/placement/restart_test.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/worker"
+)
+
+// restarted is the report of a worker that has restarted under its id.
+func restarted(born int64) worker.Report {
+	return worker.Report{Clock: time.Millisecond, Incarnation: born}
+}
+
+// giveUpStart lets both tries of a start on w1 go unanswered and returns the order to stop the run.
+func giveUpStart(t *testing.T, d *directScheduler) (first StartRun, stop StopRun) {
+	t.Helper()
+	is := is.New(t)
+	first, ok := find(d.submit(0, "00000000000000aa", 40000), func(s StartRun) bool { return s.Order.ID == "w1" })
+	is.True(ok)
+	d.after(60 * time.Millisecond)
+	second, ok := find(d.update(StartResult{Order: first.Order, SentAt: d.now.Add(-60 * time.Millisecond), Err: noResponseError{}}), func(StartRun) bool { return true })
+	is.True(ok)
+	d.after(60 * time.Millisecond)
+	stop, ok = find(d.update(StartResult{Order: second.Order, SentAt: d.now.Add(-60 * time.Millisecond), Err: noResponseError{}}), func(StopRun) bool { return true })
+	is.True(ok)
+	return first, stop
+}
+
+// Guards against a second run of a task whose worker has restarted: an unanswered start may reach the new incarnation, which
+// does not know that the earlier one was ordered to stop the run.
+func TestStopOfUnansweredStartIsLostWithIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	_, stop := giveUpStart(t, d)
+	d.update(StopResult{Order: stop.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
+	d.after(10 * time.Millisecond)
+	target := stop.Order.Target
+	stopped := false
+	effects := d.update(PollResult{Order: worker.PollOrder{Target: target}, SentAt: d.now, Report: restarted(2)})
+	list := WorkerList{}
+	for _, w := range d.sortedWorkers {
+		entry := w.Worker
+		entry.Draining = entry.ID == "w1" // so that the task starts again on w2
+		list.Workers = append(list.Workers, entry)
+	}
+	effects = append(effects, d.update(list)...)
+	for range 5 {
+		if _, ok := find(effects, func(s StopRun) bool { return s.Order.ID == "w1" }); ok {
+			stopped = true
+		}
+		if _, again := find(effects, func(s StartRun) bool { return s.Order.ID == "w2" }); again {
+			is.True(stopped) // by the new incarnation
+			return
+		}
+		d.after(100 * time.Millisecond)
+		effects = d.update(Tick{})
+		poll := worker.PollOrder{Target: target}
+		effects = append(effects, d.update(PollResult{Order: poll, SentAt: d.now, Report: restarted(2)})...)
+	}
+	is.True(stopped)
+}
+
+// Guards against a run of a withdrawn job on a worker that has restarted: its only start order is still on its way when the
+// earlier incarnation answers the stop.
+func TestStopOfWithdrawnStartIsLostWithIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	toFirst := func(s StopRun) bool { return s.Order.ID == "w1" }
+	d.submit(7, "00000000000000aa", 40000)
+	stop, ok := find(d.update(Withdraw{Key: SubmissionKey{Conn: 7, Sequence: 1}}), toFirst)
+	is.True(ok)
+	d.update(StopResult{Order: stop.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1}})
+	d.after(10 * time.Millisecond)
+	_, stopped := find(d.update(PollResult{Order: worker.PollOrder{Target: stop.Order.Target}, SentAt: d.now, Report: restarted(2)}), toFirst)
+	is.True(stopped)
+}
--- a/placement/run.go
+++ b/placement/run.go
@@ -19,6 +19,7 @@
 	confirmed       time.Time     // when the worker confirmed the start; zero before
 	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it
 	tries           int
+	openStarts      int // start orders that may still be carried out
 	expected        time.Duration
 	sound           time.Duration // expected run time on a sound worker
 	pValue          float64       // probability that a run on a sound worker is as slow; 0 while unknown
@@ -61,6 +62,7 @@
 
 func (s *Scheduler) sendStart(r *run) {
 	r.tries++
+	r.openStarts++
 	lease := s.extendLease(r.worker)
 	r.startExpiry = max(r.startExpiry, lease) // an earlier try may still be carried out
 	r.sender = r.job.sender
@@ -91,7 +93,14 @@
 func (s *Scheduler) handleStartResult(m StartResult) {
 	s.observeStartResult(m)
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
-	if r == nil || w.fromEarlierIncarnation(m.Report, m.SentAt) {
+	if r == nil {
+		return
+	}
+	reason, rejected := worker.RejectionReason(m.Err)
+	if m.Err == nil || rejected {
+		r.openStarts = max(r.openStarts-1, 0)
+	}
+	if w.fromEarlierIncarnation(m.Report, m.SentAt) {
 		return
 	}
 	if m.Err == nil {
@@ -104,7 +113,6 @@
 		}
 		return
 	}
-	reason, rejected := worker.RejectionReason(m.Err)
 	if !rejected || reason == worker.ReasonNotSent {
 		r.job.updateSpec(m, r.sender)
 	}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -147,9 +147,15 @@
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
-		case r.confirmed.IsZero(), r.tries > 1:
-			// A start order may still reach the new incarnation, whose clock would not reject it as expired.
-			s.stopRun(r)
+		case r.openStarts > 0:
+			// A start order may still reach the new incarnation, which does not know that the earlier one was ordered to stop
+			// the run, and whose clock would not reject the order as expired.
+			r.confirmed = time.Time{}
+			if r.stopping {
+				s.sendStop(r)
+			} else {
+				s.stopRun(r)
+			}
 		default:
 			s.loseRun(r, "worker restarted")
 		}
@@ -362,6 +368,7 @@
 		switch {
 		case running:
 			s.saveCheckpoint(r, row.Checkpoint)
+			r.openStarts = min(r.openStarts, max(r.tries-1, 0))
 			if r.stopping && m.SentAt.Sub(r.lastStopAt) > s.rules.ProbeInterval {
 				s.sendStop(r) // the stop order was lost
 			}
