Judge a start by no clock of its worker's earlier incarnation

Cause: a start that is unanswered counts as expired by a reading of the worker's clock, which starts anew with each incarnation: the task waits until the new clock has passed the old reading, or starts again while the order may still be carried out. The end of the earlier incarnation's lease let it start again too, though the new one grants the order a lease when it arrives. A lost stop was not sent again.

Change: after a restart such a start never expires. Only the answer to the stop, or the removal of the worker from the list, settles it, so the stop is repeated with each poll. The price: a durable task waits for as long as its restarted worker is listed and silent.

--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -77,3 +77,56 @@
 	_, stopped := find(d.update(PollResult{Order: worker.PollOrder{Target: stop.Order.Target}, SentAt: d.now, Report: restarted(2)}), toFirst)
 	is.True(stopped)
 }
+
+// Guards against a task that never starts again: its worker restarts while the order to stop an unanswered start is
+// unanswered, and the start counts as not expired by the clock of the new incarnation.
+func TestTaskWaitsForClockOfEarlierIncarnation(t *testing.T) {
+	d := newDirectScheduler(t)
+	_, stop := giveUpStart(t, d)
+	target := stop.Order.Target
+	d.after(60 * time.Millisecond)
+	d.update(StopResult{Order: stop.Order, SentAt: d.now.Add(-60 * time.Millisecond), Err: noResponseError{}})
+	effects := d.update(PollResult{Order: worker.PollOrder{Target: target}, SentAt: d.now, Report: restarted(2)})
+	for at := 100 * time.Millisecond; at < 5*time.Second; at += 100 * time.Millisecond {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case StartRun:
+				return
+			case StopRun:
+				effects = append(effects, d.update(StopResult{Order: e.Order, SentAt: d.now, Report: worker.Report{Clock: at, Incarnation: 2}})...)
+			}
+		}
+		d.after(100 * time.Millisecond)
+		effects = append(d.update(Tick{}), d.update(PollResult{Order: worker.PollOrder{Target: target}, SentAt: d.now, Report: worker.Report{Clock: at, Incarnation: 2}})...)
+	}
+	t.Fatal("the task does not start again within 5 s of its worker's restart")
+}
+
+// Guards against a second run of a task whose worker has restarted and is unreachable since: the start may reach the new
+// incarnation after the lease that the earlier one had.
+func TestTaskStartsAgainBeforeRestartedWorkerHasStoppedIt(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	_, stop := giveUpStart(t, d)
+	poll := worker.PollOrder{Target: stop.Order.Target}
+	d.update(PollResult{Order: poll, SentAt: d.now, Report: restarted(2)})
+	started := func(s StartRun) bool { return s.Order.Task == "00000000000000aa.0.0.0" }
+	for range 20 {
+		d.after(100 * time.Millisecond)
+		effects := append(d.update(PollResult{Order: poll, SentAt: d.now, Err: noResponseError{}}), d.update(Tick{})...)
+		_, again := find(effects, started)
+		is.True(!again)
+	}
+	again := false
+	for range 10 {
+		d.after(100 * time.Millisecond)
+		effects := d.update(PollResult{Order: poll, SentAt: d.now, Report: restarted(2)})
+		if sent, ok := find(effects, func(StopRun) bool { return true }); ok {
+			effects = append(effects, d.update(StopResult{Order: sent.Order, SentAt: d.now, Report: restarted(2)})...)
+		}
+		if _, ok := find(effects, started); ok {
+			again = true
+		}
+	}
+	is.True(again)
+}
--- a/placement/run.go
+++ b/placement/run.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"samphireplank.example/samphireplank/worker"
@@ -17,7 +18,7 @@
 	need            worker.Resources
 	sent            time.Time
 	confirmed       time.Time     // when the worker confirmed the start; zero before
-	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it
+	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it, see neverExpires
 	tries           int
 	openStarts      int // start orders that may still be carried out
 	expected        time.Duration
@@ -36,6 +37,9 @@
 	unmeasured      bool      // no run time is learned: the run is adopted or its worker is slow
 }
 
+// neverExpires is the startExpiry of a run whose start may reach a new incarnation of its worker, whose clock starts anew.
+const neverExpires time.Duration = math.MaxInt64
+
 // startRun starts a task on a worker.
 func (s *Scheduler) startRun(js *jobState, i, j int, w *workerState) {
 	t := &js.steps[i].tasks[j]
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -150,7 +150,7 @@
 		case r.openStarts > 0:
 			// A start order may still reach the new incarnation, which does not know that the earlier one was ordered to stop
 			// the run, and whose clock would not reject the order as expired.
-			r.confirmed = time.Time{}
+			r.confirmed, r.startExpiry, r.baseClock = time.Time{}, neverExpires, 0
 			if r.stopping {
 				s.sendStop(r)
 			} else {
@@ -375,6 +375,9 @@
 			s.checkProgress(r, row.Progress, m.Report.Clock)
 		case r.confirmed.IsZero() && m.Report.Clock <= r.startExpiry:
 			// The start order is unanswered and may still be carried out.
+			if r.stopping && m.SentAt.Sub(r.lastStopAt) > s.rules.ProbeInterval {
+				s.sendStop(r) // only its response settles the outcome
+			}
 		case !r.confirmed.IsZero() && !r.confirmed.Before(m.SentAt):
 			// The run started after the list was requested.
 		default:
@@ -392,12 +395,18 @@
 	return runs
 }
 
-// expireLease gives up the runs of an unreachable worker once its lease has certainly expired.
+// expireLease gives up the runs of an unreachable worker once its lease has certainly expired. It keeps those whose start
+// may still reach a new incarnation.
 func (s *Scheduler) expireLease(w *workerState) {
 	if w.unansweredCalls == 0 || len(w.runs)+w.unknownRuns == 0 || s.now.Before(w.leaseExpiry) {
 		return
 	}
-	s.loseRuns(w, "lease expired without a response")
+	for _, r := range w.sortedRuns() {
+		if !r.confirmed.IsZero() || r.startExpiry != neverExpires {
+			s.loseRun(r, "lease expired without a response")
+		}
+	}
+	s.dropOrphans(w)
 }
 
 func (s *Scheduler) loseRuns(w *workerState, reason string) {
