Poll a worker whose list entry names another incarnation

Cause: an entry with a later incarnation than the known one counted as a restart. Incarnations are readings of wall clocks: after a clock was set back, the entry of before the restart, up to two seconds old and passed on every 500 ms, made the new incarnation's runs count as lost, and their tasks started again beside them.

Change: an entry matters only if its incarnation is another than that of the entry before. The worker then gets no new tasks and is polled; only its response shows a restart. The price: if the connection of a waiting poll is silent, its runs are given up when that poll times out, up to 0.72 s later than by the list.

--- a/placement/restart_test.go
+++ b/placement/restart_test.go
@@ -14,6 +14,37 @@
 	return worker.Report{Clock: time.Millisecond, Incarnation: born}
 }
 
+// Guards against runs that start again beside themselves: a worker whose wall clock was set back restarts, and its list
+// entry of before, which is up to two seconds old, counts as another restart.
+func TestEntryOfEarlierIncarnationAfterClockStep(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	list := WorkerList{}
+	for _, id := range []string{"w1", "w2"} {
+		list.Workers = append(list.Workers, worker.Worker{ID: id, Service: "cue", Address: id + ":1", Capacity: worker.Resources{MilliCores: 64000}, Incarnation: 1000})
+	}
+	d.Scheduler = New(Config{Fence: 256, Rules: DefaultRules()})
+	report := func(born int64) worker.Report { return worker.Report{Clock: d.clock, Incarnation: born} }
+	for _, e := range d.update(list) {
+		if p, ok := e.(PollWorker); ok {
+			d.update(PollResult{Order: p.Order, SentAt: d.now, Report: report(1000)})
+		}
+	}
+	d.after(10 * time.Millisecond) // w1 restarts with its clock set back by 100 ms
+	target := worker.Target{ID: "w1", Address: "w1:1"}
+	effects := d.update(PollResult{Order: worker.PollOrder{Target: target}, SentAt: d.now, Report: report(900)})
+	poll, ok := find(effects, func(p PollWorker) bool { return p.Order.ID == "w1" })
+	is.True(ok)
+	d.update(PollResult{Order: poll.Order, SentAt: d.now, Report: report(900)})
+	start, ok := find(d.submit(0, "00000000000000aa", 40000), func(s StartRun) bool { return s.Order.ID == "w1" })
+	is.True(ok)
+	d.update(StartResult{Order: start.Order, SentAt: d.now, Report: report(900)})
+	d.after(50 * time.Millisecond)
+	effects = d.update(list) // w1 writes its entry about every 1.5 s
+	_, again := find(effects, func(s StartRun) bool { return s.Order.Task == "00000000000000aa.0.0.0" })
+	is.True(!again)
+}
+
 // giveUpStart lets both tries of a start on w1 go unanswered and returns the order to stop the run.
 func giveUpStart(t *testing.T, d *directScheduler) (first StartRun, stop StopRun) {
 	t.Helper()
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -37,11 +37,12 @@
 		listed[entry.ID] = true
 		w := s.workers[entry.ID]
 		if w != nil && w.Address == entry.Address {
-			wasDraining := w.Draining
+			wasDraining, changed := w.Draining, entry.Incarnation != w.Incarnation
 			w.Worker, w.removed = entry, time.Time{}
-			// The listed entry may be older than the worker's last response.
-			if entry.Incarnation > w.incarnation && w.incarnation != 0 {
-				s.workerRestarted(w, entry.Incarnation, nil)
+			// The entry may be older than the worker's last response, and incarnations are readings of wall clocks, which may be
+			// set back, so only a response shows the present one.
+			if changed && entry.Incarnation != 0 && w.incarnation != 0 && entry.Incarnation != w.incarnation {
+				w.synced, w.probeAt = false, s.now
 			}
 			s.recomputeFree(w)
 			if entry.Draining && !wasDraining {
