--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -52,11 +52,12 @@
 
 // durablePermitDuration is how long a holder may act on durable jobs after the evidence. While nothing changes, the evidence
 // of the store is up to two watches old; the rest is for leases, so that they are renewed in full until then.
-const durablePermitDuration = 2*watchWait + 500*time.Millisecond
+const durablePermitDuration = 2*ownWatchWait + 500*time.Millisecond
 
 // durableHolderEnd returns the time after which all runs of durable jobs of a replaced holder have ended.
 func durableHolderEnd(r placement.Rules) time.Duration {
-	return durablePermitDuration + time.Duration(r.ClockDrift*float64(durablePermitDuration)) + placement.PermitLease + r.LeaseError()
+	end := durablePermitDuration + time.Duration(r.ClockDrift*float64(durablePermitDuration)) + placement.PermitLease + r.LeaseError() + r.KillTime
+	return end.Truncate(10*time.Millisecond) + 10*time.Millisecond
 }
 
 // durablePermit returns how long the holder of a group may act on its durable jobs, negative after the end of its permit.
@@ -67,7 +68,7 @@
 		return -now // only a recorded holder has durable jobs
 	}
 	evidence := max(storeAt, time.Duration(d.confirmedAt.Load()), time.Duration(d.peersConfirmedAt.Load()))
-	if now-evidence > watchWait && now-time.Duration(d.peersReadAt.Load()) > tickInterval {
+	if now-evidence > ownWatchWait && now-time.Duration(d.peersReadAt.Load()) > tickInterval {
 		evidence = max(evidence, g.peerEvidence(d.group, record.revision, now))
 		d.peersConfirmedAt.Store(int64(evidence))
 		d.peersReadAt.Store(int64(now))
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -26,6 +26,8 @@
 	// watchWait is the maximum duration of a watch. An unresponsive connection is detected after it, and a configuration
 	// must be active within 2 s.
 	watchWait = time.Second
+	// ownWatchWait is the maximum duration of a watch of this product's keys, which show that a holder was not replaced.
+	ownWatchWait = 950 * time.Millisecond
 	// workerWatchInterval is the delay between two watches of the workers' entries.
 	workerWatchInterval = 400 * time.Millisecond
 	// unlistedMemory is how long removed workers are remembered, so that the next holder of a group waits for runs there.
@@ -122,7 +124,7 @@
 // their changes twice a second is enough, since a draining worker gives notice of 2 s.
 func watchedPrefixes(codec Decoder) []*watchedPrefix {
 	return []*watchedPrefix{
-		{name: ownPrefix, timeout: watchWait},
+		{name: ownPrefix, timeout: ownWatchWait},
 		{name: codec.ConfigurationKey(), timeout: watchWait},
 		workerPrefixIndex: {name: codec.WorkerPrefix(), interval: workerWatchInterval, timeout: workerWatchTimeout},
 	}
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -142,12 +142,15 @@
 // lease that was granted for other jobs can't be shortened.
 func (s *Scheduler) leaseOutlastsPermit(js *jobState, w *workerState) bool {
 	until, limited := s.permit(js)
-	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()))
+	return limited && w.leaseExpiry.After(until.Add(PermitLease+s.leaseError()+s.rules.KillTime))
 }
 
 func (s *Scheduler) leaseError() time.Duration { return s.rules.LeaseError() }
 
 // LeaseError is the maximum time by which a lease lasts longer than its nominal length.
-func (r Rules) LeaseError() time.Duration {
-	return time.Duration(r.ClockDrift*float64(r.LeaseDuration)) + leaseSlack
+func (r Rules) LeaseError() time.Duration { return r.maxElapsed(r.LeaseDuration) - r.LeaseDuration }
+
+// maxElapsed returns the longest time that passes while a worker's clock advances by the given time.
+func (r Rules) maxElapsed(advance time.Duration) time.Duration {
+	return time.Duration(float64(advance) / (1 - r.ClockDrift))
 }
--- a/placement/run.go
+++ b/placement/run.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"samphireplank.example/samphireplank/worker"
@@ -17,8 +18,9 @@
 	need            worker.Resources
 	sent            time.Time
 	confirmed       time.Time     // when the worker confirmed the start; zero before
-	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it
+	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it, see neverExpires
 	tries           int
+	openStarts      int // start orders that may still be carried out
 	expected        time.Duration
 	sound           time.Duration // expected run time on a sound worker
 	pValue          float64       // probability that a run on a sound worker is as slow; 0 while unknown
@@ -35,6 +37,9 @@
 	unmeasured      bool      // no run time is learned: the run is adopted or its worker is slow
 }
 
+// neverExpires is the startExpiry of a run whose start may reach a new incarnation of its worker, whose clock starts anew.
+const neverExpires time.Duration = math.MaxInt64
+
 // startRun starts a task on a worker.
 func (s *Scheduler) startRun(js *jobState, i, j int, w *workerState) {
 	t := &js.steps[i].tasks[j]
@@ -62,6 +67,7 @@
 
 func (s *Scheduler) sendStart(r *run) {
 	r.tries++
+	r.openStarts++
 	lease := s.extendLease(r.worker)
 	r.startExpiry = max(r.startExpiry, lease) // an earlier try may still be carried out
 	r.sender = r.job.sender
@@ -92,7 +98,14 @@
 func (s *Scheduler) handleStartResult(m StartResult) {
 	s.observeStartResult(m)
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
-	if r == nil || w.fromEarlierIncarnation(m.Report, m.SentAt) {
+	if r == nil {
+		return
+	}
+	reason, rejected := worker.RejectionReason(m.Err)
+	if m.Err == nil || rejected {
+		r.openStarts = max(r.openStarts-1, 0)
+	}
+	if w.fromEarlierIncarnation(m.Report, m.SentAt) {
 		return
 	}
 	if m.Err == nil {
@@ -105,7 +118,6 @@
 		}
 		return
 	}
-	reason, rejected := worker.RejectionReason(m.Err)
 	if !rejected || reason == worker.ReasonNotSent {
 		r.job.updateSpec(m, r.sender)
 	}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -23,7 +23,7 @@
 	handledSequence int64              // sequence of the last ended run that was processed
 	ackedSequence   int64              // last sequence that was acknowledged to the worker
 	pendingAcks     map[int64]struct{} // sequences of ended runs that must not be acknowledged yet
-	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired by then
+	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired and its runs are killed by then
 	polling         bool
 	lastPollAt      time.Time
 	unansweredCalls int // consecutive calls without a response
@@ -39,11 +39,12 @@
 		listed[entry.ID] = true
 		w := s.workers[entry.ID]
 		if w != nil && w.Address == entry.Address {
-			wasDraining := w.Draining
+			wasDraining, changed := w.Draining, entry.Incarnation != w.Incarnation
 			w.Worker, w.removed, w.added = entry, time.Time{}, m.Added[entry.ID]
-			// The listed entry may be older than the worker's last response.
-			if entry.Incarnation > w.incarnation && w.incarnation != 0 {
-				s.workerRestarted(w, entry.Incarnation, nil)
+			// The entry may be older than the worker's last response, and incarnations are readings of wall clocks, which may be
+			// set back, so only a response shows the present one.
+			if changed && entry.Incarnation != 0 && w.incarnation != 0 && entry.Incarnation != w.incarnation {
+				w.synced, w.probeAt = false, s.now
 			}
 			s.recomputeFree(w)
 			if entry.Draining && !wasDraining {
@@ -154,9 +155,15 @@
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
-		case r.confirmed.IsZero(), r.tries > 1:
-			// A start order may still reach the new incarnation, whose clock would not reject it as expired.
-			s.stopRun(r)
+		case r.openStarts > 0:
+			// A start order may still reach the new incarnation, which does not know that the earlier one was ordered to stop
+			// the run, and whose clock would not reject the order as expired.
+			r.confirmed, r.startExpiry, r.baseClock = time.Time{}, neverExpires, 0
+			if r.stopping {
+				s.sendStop(r)
+			} else {
+				s.stopRun(r)
+			}
 		default:
 			s.loseRun(r, "worker restarted")
 		}
@@ -176,15 +183,16 @@
 func (s *Scheduler) extendLease(w *workerState) time.Duration {
 	length := s.maxLease(w)
 	// The worker's clock is never behind the estimate, so the lease cannot last longer than this.
-	until := s.now.Add(time.Duration(float64(length)*(1+s.rules.ClockDrift)) + leaseSlack)
-	if until.After(w.leaseExpiry) {
+	if until := s.runsEnd(length); until.After(w.leaseExpiry) {
 		w.leaseExpiry = until
 	}
 	return s.clockLowerBound(w) + length
 }
 
-// leaseSlack covers rounding of the worker's clock to milliseconds and the time a worker takes to kill runs.
-const leaseSlack = 20 * time.Millisecond
+// runsEnd returns the time by which a worker has killed its runs under a lease of the given length that is granted now.
+func (s *Scheduler) runsEnd(length time.Duration) time.Time {
+	return s.now.Add(s.rules.maxElapsed(length) + s.rules.KillTime)
+}
 
 // usable reports whether new tasks may be sent to the worker.
 func (s *Scheduler) usable(w *workerState) bool {
@@ -321,7 +329,7 @@
 		s.orphans[r.Task] = orphanedRun{worker: w, number: r.Number, until: until}
 		s.adoptRun(r.Task)
 	}
-	w.leaseExpiry = s.now.Add(s.rules.LeaseDuration + s.leaseError()) // granted by the earlier holder
+	w.leaseExpiry = s.runsEnd(s.rules.LeaseDuration) // granted by the earlier holder
 	if w.unknownRuns > 0 {
 		// The lease is not renewed for runs that no entry VM has resumed yet: the VM of their jobs may be gone too, and
 		// its callers rely on the earlier holder's last lease.
@@ -363,12 +371,16 @@
 		switch {
 		case running:
 			s.saveCheckpoint(r, row.Checkpoint)
+			r.openStarts = min(r.openStarts, max(r.tries-1, 0))
 			if r.stopping && m.SentAt.Sub(r.lastStopAt) > s.rules.ProbeInterval {
 				s.sendStop(r) // the stop order was lost
 			}
 			s.checkProgress(r, row.Progress, m.Report.Clock)
 		case r.confirmed.IsZero() && m.Report.Clock <= r.startExpiry:
 			// The start order is unanswered and may still be carried out.
+			if r.stopping && m.SentAt.Sub(r.lastStopAt) > s.rules.ProbeInterval {
+				s.sendStop(r) // only its response settles the outcome
+			}
 		case !r.confirmed.IsZero() && !r.confirmed.Before(m.SentAt):
 			// The run started after the list was requested.
 		default:
@@ -386,12 +398,18 @@
 	return runs
 }
 
-// expireLease gives up the runs of an unreachable worker once its lease has certainly expired.
+// expireLease gives up the runs of an unreachable worker once its lease has certainly expired. It keeps those whose start
+// may still reach a new incarnation.
 func (s *Scheduler) expireLease(w *workerState) {
 	if w.unansweredCalls == 0 || len(w.runs)+w.unknownRuns == 0 || s.now.Before(w.leaseExpiry) {
 		return
 	}
-	s.loseRuns(w, "lease expired without a response")
+	for _, r := range w.sortedRuns() {
+		if !r.confirmed.IsZero() || r.startExpiry != neverExpires {
+			s.loseRun(r, "lease expired without a response")
+		}
+	}
+	s.dropOrphans(w)
 }
 
 func (s *Scheduler) loseRuns(w *workerState, reason string) {
