Let tests replace the clock and the network of a VM

gateway.Config takes the clock that includes suspension, the listeners and the connections to other VMs; by default they are those of the system. Whole VMs then run on the simulated clock of testing/synctest, which needs connections in memory.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -69,13 +68,14 @@
 
 // New returns a Gateway that is not running yet.
 func New(config Config) *Gateway {
+	config = config.withDefaults()
 	self := peer.Hello{
 		VM: config.Settings.VM, Zone: config.Settings.Zone, Address: config.Settings.PeerAddress, Incarnation: time.Now().UnixNano(),
 	}
 	log := config.Log.With().Str("vm", self.VM).Logger()
 	return &Gateway{
 		config: config, settings: config.Settings, log: log, self: self,
-		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(bootClock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
+		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(config.Clock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: newStoreCache(config.Decoder, log), meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
@@ -89,7 +89,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g.ctx = work
-	links, err := net.Listen("tcp4", g.settings.PeerAddress)
+	links, err := g.config.Listen(g.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for other VMs: %w", err)
 	}
@@ -149,7 +149,7 @@
 
 // peerConfig returns the configuration of connections to other VMs.
 func (g *Gateway) peerConfig() peer.Config {
-	return peer.Config{Self: g.self, Traffic: g.config.Traffic, Clock: bootClock}
+	return peer.Config{Self: g.self, Traffic: g.config.Traffic, Clock: g.config.Clock, Dial: g.config.Dial}
 }
 
 // trafficInterval is the interval of log lines about traffic; each has one field per purpose, with both directions.
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -18,7 +18,7 @@
 func (g *Gateway) extendPermit(connID uint64, echo time.Duration) time.Time {
 	until := time.Now().Add(permitDuration)
 	if echo != 0 {
-		until = until.Add(-max(bootClock()-echo, 0))
+		until = until.Add(-max(g.config.Clock()-echo, 0))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -42,7 +42,7 @@
 	var s servers
 	var errs []error
 	open := func(address string) net.Listener {
-		listener, err := net.Listen("tcp4", address)
+		listener, err := g.config.Listen(address)
 		if err != nil {
 			errs = append(errs, err)
 		}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"strings"
 	"time"
 
@@ -78,4 +80,21 @@
 	ClaimRules     claim.Rules
 	Traffic        *traffic.Meter // may be nil
 	Log            zerolog.Logger
+	// Clock returns a reading of a clock that includes the time of suspension; nil stands for that of the system.
+	Clock func() time.Duration
+	// Listen opens a listener on a host:port; nil stands for TCP.
+	Listen func(address string) (net.Listener, error)
+	// Dial opens a connection to the peer address of another VM; nil stands for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// withDefaults returns the configuration with the clock and the listeners of the system where none are set.
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = bootClock
+	}
+	if c.Listen == nil {
+		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+	}
+	return c
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -34,6 +34,8 @@
 	// Clock returns a reading of the VM's clock, time of suspension included. Messages carry it, so that the other VM
 	// can return it; nil leaves the readings out.
 	Clock func() time.Duration
+	// Dial opens a connection to another VM; nil stands for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Conn is a connection to another VM.
@@ -85,14 +87,22 @@
 
 // Dial opens a connection to another VM and serves it until it ends or ctx is cancelled; it returns the reason.
 func Dial(ctx context.Context, address string, config Config, handler Handler) error {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	dial := config.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return fmt.Errorf("connect to %s: %w", address, err)
 	}
 	return serve(ctx, conn, config, handler)
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // Serve accepts and serves connections until ctx is cancelled, which closes the listener and the connections, or the
 // listener fails. It returns when all connections have ended: nil after a cancellation, otherwise the listener's error.
 func Serve(ctx context.Context, listener net.Listener, config Config, handler Handler) error {
