Play whole VMs with faults in bursts on a simulated clock

TestTwoRunsOfOneTask runs the real Gateway of six VMs in two zones in a synctest bubble, with workers by the platform's rules, a store, connections in memory and callers that send an unanswered job again 1.3 s later. Bursts of faults hit the holder of one group: stalls, suspension, loss of power, kills, planned stops, cuts in one direction, a store that is silent, slow or loses answers, lost and late orders, workers that restart under the same id or another one, and entries that vanish. It checks that no task has two runs at a time, that no refused job has run, and that no job is completed without a task.

A seed fixes the faults; what else happens depends on the order of goroutines, so that a seed need not break each time.

--- /dev/null
+++ b/gateway/sim_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+var (
+	simSeed  = flag.Uint64("sim-seed", 1, "first seed of TestTwoRunsOfOneTask")
+	simSeeds = flag.Int("sim-seeds", 12, "number of histories of TestTwoRunsOfOneTask")
+	simTrace = flag.String("sim-trace", "", "file for the trace of the last history of TestTwoRunsOfOneTask")
+)
+
+// Guards against two runs of one task at a time, whichever VMs, workers, links and calls of the store fail in a burst, and
+// against refused jobs that have run.
+func TestTwoRunsOfOneTask(t *testing.T) {
+	for i := range *simSeeds {
+		seed := *simSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { newSimulation(t, seed).play(seed) })
+		})
+	}
+}
+
+const (
+	simWarmUp = 1500 * time.Millisecond
+	simLoad   = 7 * time.Second // load and faults
+)
+
+// play plays a history and reports what it breaks.
+func (s *simulation) play(seed uint64) {
+	s.mu.Lock()
+	for _, m := range s.machines {
+		s.start(m)
+	}
+	s.planFaults(seed, simWarmUp+300*time.Millisecond, simLoad)
+	s.mu.Unlock()
+	time.Sleep(simWarmUp)
+	var callers errgroup.Group
+	for time.Since(s.begin) < simLoad {
+		s.mu.Lock()
+		j := s.newJob([]string{"a", "b"}[s.rand.IntN(2)])
+		wait := time.Duration(s.rand.ExpFloat64() * float64(90*time.Millisecond))
+		s.mu.Unlock()
+		callers.Go(func() error {
+			s.runCaller(j)
+			return nil
+		})
+		time.Sleep(wait)
+	}
+	s.mu.Lock()
+	s.ending = true
+	s.mu.Unlock()
+	_ = callers.Wait() // returns no error
+	s.mu.Lock()
+	for _, m := range s.machines {
+		m.process.dieLocked(true)
+	}
+	s.mu.Unlock()
+	_ = s.group.Wait()
+	time.Sleep(2 * idleTimeout) // for goroutines of the HTTP servers
+	s.report()
+}
+
+// report writes the trace and reports what was broken, with the part of the trace that concerns the job.
+func (s *simulation) report() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.t.Logf("%v", s.counts)
+	if *simTrace != "" {
+		var b strings.Builder
+		for _, l := range s.trace {
+			fmt.Fprintf(&b, "%9.4f %s\n", l.at.Seconds(), l.text)
+		}
+		if err := os.WriteFile(*simTrace, []byte(b.String()), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	for _, text := range s.broken {
+		s.t.Error(text)
+	}
+	if len(s.broken) == 0 {
+		return
+	}
+	for _, l := range s.trace {
+		if strings.Contains(l.text, s.brokenJob) || strings.Contains(l.text, "fault ") {
+			s.t.Logf("%9.4f %s", l.at.Seconds(), l.text)
+		}
+	}
+}
