--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -18,7 +18,7 @@
 func (g *Gateway) extendPermit(connID uint64, echo time.Duration) time.Time {
 	until := time.Now().Add(permitDuration)
 	if echo != 0 {
-		until = until.Add(-max(bootClock()-echo, 0))
+		until = until.Add(-max(g.config.Clock()-echo, 0))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -62,7 +62,7 @@
 
 // durablePermit returns how long the holder of a group may act on its durable jobs, negative after the end of its permit.
 func (g *Gateway) durablePermit(d *groupDriver) time.Duration {
-	now := bootClock()
+	now := g.config.Clock()
 	record, storeAt := g.cache.confirmedRecord(d.group)
 	if !g.isOwnRecord(record) || d.fence < record.revision*fencesPerRevision {
 		return -now // only a recorded holder has durable jobs
@@ -157,7 +157,7 @@
 		records[r.VM][group] = r.revision
 	}
 	if sc.confirmedAt > 0 {
-		age = max(bootClock()-sc.confirmedAt, 1)
+		age = max(sc.clock()-sc.confirmedAt, 1)
 	}
 	return records, age
 }
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -290,7 +290,7 @@
 		p.g.log.Error().Str("event", "save").Err(errs).Msg("jobs cannot be encoded")
 		return
 	}
-	sent := bootClock()
+	sent := p.g.config.Clock()
 	revision, err := p.g.config.Store.Commit(ctx, t)
 	if err == nil {
 		p.d.confirmedAt.Store(int64(sent)) // the only writer
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -75,6 +75,7 @@
 type storeCache struct {
 	decoder Decoder
 	log     zerolog.Logger
+	clock   func() time.Duration // includes the time of suspension
 
 	prefixes []*watchedPrefix // each is watched on its own
 
@@ -82,7 +83,7 @@
 	items           map[string]store.KeyValue
 	revision        int64         // highest seen
 	lastContact     time.Time     // last response of the store
-	confirmedAt     time.Duration // bootClock before the last call that read or watched the keys below ownPrefix
+	confirmedAt     time.Duration // clock reading before the last call that read or watched the keys below ownPrefix
 	configuration   *Configuration
 	configRev       int64
 	configRaw       []byte
@@ -105,7 +106,7 @@
 
 func newStoreCache(codec Decoder, log zerolog.Logger) *storeCache {
 	return &storeCache{
-		decoder: codec, log: log, prefixes: watchedPrefixes(codec),
+		decoder: codec, log: log, clock: bootClock, prefixes: watchedPrefixes(codec),
 		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, relisted: map[string]relistedWorker{}, vms: map[string]registration{},
 		holders: map[string]holderRecord{}, partitions: map[string]zonePartition{}, slots: map[string]string{}, changed: make(chan struct{}),
 	}
@@ -191,7 +192,7 @@
 
 // readAll reads and applies all keys of a prefix.
 func (sc *storeCache) readAll(ctx context.Context, keys store.KV, part *watchedPrefix) error {
-	sent := bootClock()
+	sent := sc.clock()
 	snapshot, err := keys.Range(ctx, part.name)
 	if err != nil {
 		return err
@@ -238,7 +239,7 @@
 }
 
 func (sc *storeCache) watchOnce(ctx context.Context, keys store.KV, part *watchedPrefix) error {
-	sent := bootClock()
+	sent := sc.clock()
 	changes, err := keys.Watch(ctx, part.name, sc.knownRevision(part), part.timeout)
 	if err != nil {
 		return err
