Let the holders of TestLaggingWorkerLists act under permits

In the gateway each submission and heartbeat carries a permit of 0.85 s; the test now sends the same, and a lost holder goes on until then.

--- a/placement/known_worker_test.go
+++ b/placement/known_worker_test.go
@@ -282,9 +282,12 @@
 	simSequence++
 	key := SubmissionKey{Conn: h.conn, Sequence: simSequence}
 	h.jobs[key], h.knownJobs[j.work.ID] = j, j
-	h.step(h.scheduler, Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 10 * time.Second, Resumed: resumed, Known: h.newest()})
+	h.step(h.scheduler, Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 10 * time.Second, Resumed: resumed, Known: h.newest(), PermitUntil: h.now.Add(vmPermit)})
 }
 
+// vmPermit is the permit that a message of a VM extends, see gateway.permitDuration. A lost holder goes on until then.
+const vmPermit = 850 * time.Millisecond
+
 // loseHolder replaces the holder without a report, and with some workers out of the next one's reach.
 func (h *listHistory) loseHolder() {
 	h.holder = 1 + h.holder%(len(h.views)-1)
@@ -348,7 +351,7 @@
 	h.replaceScheduler()
 	var heartbeat func()
 	heartbeat = func() {
-		h.step(h.scheduler, Tick{Known: map[uint64]int64{h.conn: h.newest()}})
+		h.step(h.scheduler, Tick{Known: map[uint64]int64{h.conn: h.newest()}, Permits: Permits{h.conn: h.now.Add(vmPermit)}})
 		h.after(150*time.Millisecond, heartbeat)
 	}
 	h.after(0, heartbeat)
