Log how long ago a lost run was sent and its worker's last lease ended

Change: run-lost has sent-ms, tries and lease-ended-ms, negative while a lease lasts. No decision changes. The comment on a constant of TestLaggingWorkerLists says that it is longer than the gateway's.

--- a/placement/known_worker_test.go
+++ b/placement/known_worker_test.go
@@ -285,7 +285,8 @@
 	h.step(h.scheduler, Submit{Key: key, Work: j.work, Policy: j.policy, Age: h.now.Sub(j.sent), Budget: 10 * time.Second, Resumed: resumed, Known: h.newest(), PermitUntil: h.now.Add(vmPermit)})
 }
 
-// vmPermit is the permit that a message of a VM extends, see gateway.permitDuration. A lost holder goes on until then.
+// vmPermit is a little longer than the permit that a message of a VM extends, see gateway.permitDuration. A lost holder goes on
+// until then.
 const vmPermit = 850 * time.Millisecond
 
 // loseHolder replaces the holder without a report, and with some workers out of the next one's reach.
--- a/placement/run.go
+++ b/placement/run.go
@@ -273,7 +273,9 @@
 	if r.job.closed {
 		return
 	}
-	s.logEvent("run-lost", r.job.work.ID, r.worker.ID, reason, map[string]int64{"run": int64(r.number)})
+	s.logEvent("run-lost", r.job.work.ID, r.worker.ID, reason, map[string]int64{
+		"run": int64(r.number), "sent-ms": ms(s.now.Sub(r.sent)), "tries": int64(r.tries), "lease-ended-ms": ms(s.now.Sub(r.worker.leaseExpiry)),
+	})
 	s.handleMemberEnd(r, 0)
 	s.requeueTask(r.job, r.step, r.index)
 }
