Give the bursts of the simulation themes and vary its load

Bursts consist of faults of one kind (changes of holder, workers, the store) or of all kinds, are longer, and hit another VM than the holder in one case of three. Workers restart within 10 ms, and responses of faulty workers come late. More jobs have two steps.

--- a/gateway/sim_caller_test.go
+++ b/gateway/sim_caller_test.go
@@ -29,7 +29,7 @@
 		policy: job.Policy{Route: "cue", Service: "cue", Priority: s.rand.IntN(3), MaxAttempts: 3, Stretch: 4, Target: 3 * time.Second},
 	}
 	j.work.Spec = string(make([]byte, 1000+s.rand.IntN(2000)))
-	for i := range 1 + s.rand.IntN(4)/3 {
+	for i := range 1 + s.rand.IntN(5)/3 {
 		length := s.between(40*time.Millisecond, 700*time.Millisecond)
 		if s.chance(0.4) {
 			length = s.between(700*time.Millisecond, 2*time.Second)
--- a/gateway/sim_fault_test.go
+++ b/gateway/sim_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -78,7 +79,7 @@
 		}
 	}},
 	{"crash of a worker", 3, func(s *simulation, r *rand.Rand, _ *simMachine) {
-		s.crashWorker(s.workers[r.IntN(len(s.workers))], r.IntN(3) > 0, span(r, 50*time.Millisecond, time.Second))
+		s.crashWorker(s.workers[r.IntN(len(s.workers))], r.IntN(3) > 0, span(r, 10*time.Millisecond, 600*time.Millisecond))
 	}},
 	{"worker entries vanish", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
 		for _, w := range s.workers {
@@ -197,36 +198,55 @@
 	})
 }
 
-// planFaults schedules bursts of faults, most of them of the holder of one group.
-func (s *simulation) planFaults(seed uint64, from, until time.Duration) {
-	plan := rand.New(rand.NewPCG(seed, 11))
+// simThemes are the kinds of bursts; each names the faults that it consists of, or any if it is empty.
+var simThemes = [][]string{
+	nil,
+	nil,
+	{"stall", "stall of several VMs", "suspension", "loss of power", "kill", "planned stop", "cut from all VMs", "cut from some VMs"},
+	{"loss of power", "kill", "planned stop"},
+	{"cut from workers", "lost and late orders", "crash of a worker", "worker entries vanish", "planned stop", "stall"},
+	{"store fault", "store fault for a VM", "suspension", "loss of power", "cut from some VMs"},
+}
+
+// pickFault returns a fault of a theme.
+func pickFault(r *rand.Rand, theme []string) simFault {
+	var list []simFault
 	total := 0
 	for _, f := range simFaults {
-		total += f.weight
+		if len(theme) == 0 || slices.Contains(theme, f.name) {
+			list, total = append(list, f), total+f.weight
+		}
+	}
+	n := r.IntN(total)
+	for _, f := range list {
+		if n -= f.weight; n < 0 {
+			return f
+		}
 	}
-	for range 2 + plan.IntN(3) {
+	return list[0]
+}
+
+// planFaults schedules bursts of faults, most of them of the holder of one group.
+func (s *simulation) planFaults(seed uint64, from, until time.Duration) {
+	plan := rand.New(rand.NewPCG(seed, 11))
+	for range 3 + plan.IntN(3) {
 		at := span(plan, from, until)
 		zone := []string{"a", "b"}[plan.IntN(2)]
 		group := groupName(zone, plan.IntN(2))
-		for range 2 + plan.IntN(4) {
-			n := plan.IntN(total)
-			var fault simFault
-			for _, fault = range simFaults {
-				if n -= fault.weight; n < 0 {
-					break
-				}
-			}
+		theme := simThemes[plan.IntN(len(simThemes))]
+		for range 2 + plan.IntN(5) {
+			fault := pickFault(plan, theme)
 			r := rand.New(rand.NewPCG(seed, plan.Uint64()))
 			s.after(at, func() {
 				m := s.holderOf(group)
-				if m == nil || r.IntN(4) == 0 {
+				if m == nil || r.IntN(3) == 0 {
 					m = s.machines[r.IntN(len(s.machines))]
 				}
 				s.log("fault %q at %s", fault.name, m.name)
 				s.counts[fault.name]++
 				fault.apply(s, r, m)
 			})
-			at += span(plan, 30*time.Millisecond, 900*time.Millisecond)
+			at += span(plan, 20*time.Millisecond, 700*time.Millisecond)
 		}
 	}
 }
--- a/gateway/sim_test.go
+++ b/gateway/sim_test.go
@@ -44,10 +44,13 @@
 	s.mu.Unlock()
 	time.Sleep(simWarmUp)
 	var callers errgroup.Group
+	s.mu.Lock()
+	interval := s.between(30*time.Millisecond, 120*time.Millisecond)
+	s.mu.Unlock()
 	for time.Since(s.begin) < simLoad {
 		s.mu.Lock()
 		j := s.newJob([]string{"a", "b"}[s.rand.IntN(2)])
-		wait := time.Duration(s.rand.ExpFloat64() * float64(90*time.Millisecond))
+		wait := time.Duration(s.rand.ExpFloat64() * float64(interval))
 		s.mu.Unlock()
 		callers.Go(func() error {
 			s.runCaller(j)
--- a/gateway/sim_worker_test.go
+++ b/gateway/sim_worker_test.go
@@ -306,7 +306,7 @@
 		return
 	}
 	delay := c.process.sendAt(now, bytes).Sub(now) + s.latency(c.process.machine.zone, w.Zone)
-	lostResponse := false
+	lostResponse, lateResponse := false, time.Duration(0)
 	cut := s.cuts[[2]string{c.process.machine.name, w.Address}]
 	switch {
 	case now.Before(cut):
@@ -339,6 +339,8 @@
 			}
 		case n < 6:
 			lostResponse = true
+		case n < 8:
+			lateResponse = s.between(0, timeout)
 		}
 	}
 	s.after(delay, func() {
@@ -347,7 +349,7 @@
 			return
 		}
 		respond := func(report worker.Report, err error) {
-			back := s.latency(c.process.machine.zone, w.Zone)
+			back := lateResponse + s.latency(c.process.machine.zone, w.Zone)
 			if cut := s.cuts[[2]string{w.Address, c.process.machine.name}]; time.Now().Before(cut) {
 				back += time.Until(cut)
 			}
