--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,15 +22,25 @@
 )
 
 const (
-	vmCount     = 4
-	workerCount = 8
-	grace       = 6 * time.Second
-	leaseMax    = time.Second
+	grace    = 6 * time.Second
+	leaseMax = time.Second
 )
 
+// clusterConfig is the size of a cluster and what its VMs are told of their links.
+type clusterConfig struct {
+	VMs      int
+	Workers  int
+	Zones    int     // VMs and workers take turns
+	LinkMbps float64 // 0 for a link of unknown bandwidth
+}
+
+// smallCluster has two zones of two VMs each.
+var smallCluster = clusterConfig{VMs: 4, Workers: 8, Zones: 2}
+
 // cluster is the program on several VMs with the platform's stand-ins.
 type cluster struct {
 	t       testing.TB
+	config  clusterConfig
 	dir     string
 	network string // first three bytes of the VMs' addresses
 	program string
@@ -88,14 +100,17 @@
 	return l
 }
 
-func startCluster(t testing.TB) *cluster {
+func startCluster(t testing.TB, config clusterConfig) *cluster {
 	t.Helper()
 	program, err := build()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, dir: t.TempDir(), program: program, keys: standin.NewKVStore(), watch: standin.NewRunChecker(), silent: make([]bool, workerCount)}
-	c.watch.Stored, c.watch.Attempts = isStored, attempts
+	c := &cluster{
+		t: t, config: config, dir: t.TempDir(), program: program, keys: standin.NewKVStore(), watch: standin.NewRunChecker(),
+		silent: make([]bool, config.Workers),
+	}
+	c.watch.Stored, c.watch.Attempts, c.watch.Holder = isStored, attempts, c.holder
 	var reservation net.Listener
 	c.network, reservation = reserveNetwork(t)
 	t.Cleanup(func() { _ = reservation.Close() })
@@ -103,35 +118,36 @@
 	l := listen(t)
 	storeAddress := l.Addr().String()
 	c.group.Go(func() error { return c.keys.Serve(l) })
-	for i := range workerCount {
+	for i := range config.Workers {
 		l := listen(t)
 		g, err := newGate(l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		w := standin.NewWorker(standin.WorkerConfig{
-			ID: fmt.Sprintf("i-%d", i), Service: "cue", Zone: zoneOf(i), Address: g.address(), MilliCores: 64000, Checker: c.watch, MaxLease: leaseMax,
+			ID: fmt.Sprintf("i-%d", i), Service: "cue", Zone: c.zone(i), Address: g.address(), MilliCores: 64000, Checker: c.watch, MaxLease: leaseMax,
 		})
 		c.group.Go(func() error { return w.Serve(l) })
 		c.workers, c.gates = append(c.workers, w), append(c.gates, g)
 	}
 	c.configure(1)
 	c.group.Go(c.beat)
-	for range vmCount {
+	for range config.VMs {
 		g, err := newGate(storeAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
 		c.stores, c.vms = append(c.stores, g), append(c.vms, &process{})
 	}
-	for i := range vmCount {
+	for i := range config.VMs {
 		c.group.Go(func() error { return c.supervise(i) })
 	}
 	t.Cleanup(c.close)
 	return c
 }
 
-func zoneOf(i int) string { return []string{"a", "b"}[i%2] }
+// zone returns the zone of a VM or of a worker.
+func (c *cluster) zone(i int) string { return string(rune('a' + i%c.config.Zones)) }
 
 // configure writes a configuration; each version adds a route.
 func (c *cluster) configure(version int) {
@@ -195,13 +211,13 @@
 	defer runtime.UnlockOSThread()
 	boot := filepath.Join(c.dir, fmt.Sprintf("vm-%d.conf", i))
 	text := standin.VMSettings{
-		VM: fmt.Sprintf("vm-%d", i), Host: c.host(i), Zone: zoneOf(i), StoreAddress: c.stores[i].address(), Seed: c.host((i + 1) % vmCount),
-		MaxLease: leaseMax, GracePeriod: grace,
+		VM: fmt.Sprintf("vm-%d", i), Host: c.host(i), Zone: c.zone(i), StoreAddress: c.stores[i].address(), Seed: c.host((i + 1) % c.config.VMs),
+		MaxLease: leaseMax, GracePeriod: grace, LinkMbps: c.config.LinkMbps,
 	}.Encode()
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("vm-%d.log", i)))
+	log, err := os.Create(c.logPath(i))
 	if err != nil {
 		return err
 	}
@@ -237,7 +253,7 @@
 func (c *cluster) fail(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fails = append(c.fails, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	c.fails = append(c.fails, time.Now().Format(timeFormat)+" "+fmt.Sprintf(format, args...))
 }
 
 // failures returns what was found so far.
@@ -276,6 +292,66 @@
 	}
 }
 
+// sendSignal sends a signal to the program of a VM whatever state it is in; how the program ends is not judged.
+func (c *cluster) sendSignal(i int, s syscall.Signal) {
+	p := c.vms[i]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may have ended
+	}
+}
+
+// stall stops the program of a VM for a while, also while it is draining.
+func (c *cluster) stall(i int, d time.Duration) {
+	c.sendSignal(i, syscall.SIGSTOP)
+	time.Sleep(d)
+	c.sendSignal(i, syscall.SIGCONT)
+}
+
+// holder returns the VM and the group that had a fence, by the logs. A fence that a holder took later is known only as the
+// revision of its record.
+func (c *cluster) holder(fence int64) string {
+	found := "by an unknown VM"
+	for i := range c.vms {
+		data, err := os.ReadFile(c.logPath(i))
+		if err != nil {
+			return err.Error()
+		}
+		for line := range strings.Lines(string(data)) {
+			var entry struct {
+				Event, Group, VM string
+				Fence, Revision  int64
+			}
+			switch err := json.Unmarshal([]byte(line), &entry); {
+			case err != nil: // the process was killed while it wrote the line
+			case entry.Event == "holding" && entry.Fence == fence:
+				return fmt.Sprintf("by vm-%d (%s)", i, entry.Group)
+			case entry.Event == "holder-changed" && entry.Revision*256 == fence:
+				found = fmt.Sprintf("by %s (%s)", entry.VM, entry.Group)
+			}
+		}
+	}
+	return found
+}
+
+func (c *cluster) logPath(i int) string { return filepath.Join(c.dir, fmt.Sprintf("vm-%d.log", i)) }
+
+func (c *cluster) saveLogs(dir string) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		c.t.Log(err)
+	}
+	for i := range c.vms {
+		data, err := os.ReadFile(c.logPath(i))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, filepath.Base(c.logPath(i))), data, 0o600)
+		}
+		if err != nil {
+			c.t.Log(err)
+		}
+	}
+}
+
 func (c *cluster) close() {
 	c.cancel()
 	for i := range c.vms {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -27,6 +26,7 @@
 )
 
 const (
+	timeFormat = "15:04:05.000"
 	resendTime = 1300 * time.Millisecond
 	budget     = 4 * time.Second
 	calmTime   = 6 * time.Second // after the faults, before service is judged
@@ -49,27 +49,33 @@
 	lateDone int
 	judging  bool
 	statuses map[string]int
+	tries    map[string][]string // by job
 	stored   []*storedJob
+	specPad  string // is appended to each spec
 }
 
 // send runs one job as a client does: again under the same id after an answer that leaves the outcome open.
 func (l *client) send(sequence uint64, first int, tasks, length int) {
 	id := fmt.Sprintf("%016x", sequence)
-	body := fmt.Sprintf(`{"spec":"%d 27000","best_effort":true,"steps":[{"count":%d,"cpu":27000,"mem_mb":64,"estimate_ms":%d}]}`, length, tasks, length)
+	body := fmt.Sprintf(`{"spec":"%d 27000%s","best_effort":true,"steps":[{"count":%d,"cpu":27000,"mem_mb":64,"estimate_ms":%d}]}`, length, l.specPad, tasks, length)
 	l.mu.Lock()
 	judged := l.judging
 	l.mu.Unlock()
 	rejected, status := 0, ""
 	tries := 0
 	for ; tries < 3; tries++ {
-		code, reason, err := l.post(l.c.front((first+tries)%vmCount), "/cue/"+id, body)
+		vm, asked := (first+tries)%l.c.config.VMs, time.Now()
+		code, reason, err := l.post(l.c.front(vm), "/cue/"+id, body)
 		if judged && code != http.StatusOK {
-			l.c.t.Logf("%s: judged job %s: %d %s %v", time.Now().Format("15:04:05.000"), id, code, reason, err)
+			l.c.t.Logf("%s: judged job %s: %d %s %v", time.Now().Format(timeFormat), id, code, reason, err)
 		}
 		status = fmt.Sprint(code)
 		if err != nil {
 			status = "broken"
 		}
+		l.mu.Lock()
+		l.tries[id] = append(l.tries[id], fmt.Sprintf("vm-%d from %s to %s (%s)", vm, asked.Format(timeFormat), time.Now().Format(timeFormat), status))
+		l.mu.Unlock()
 		if err == nil && code == http.StatusOK {
 			break
 		}
@@ -120,7 +126,7 @@
 	var group errgroup.Group
 	version := 1
 	for time.Now().Before(until) {
-		i, w, kind := r.IntN(vmCount), r.IntN(workerCount), r.IntN(13)
+		i, w, kind := r.IntN(c.config.VMs), r.IntN(c.config.Workers), r.IntN(13)
 		spell := time.Duration(300+r.IntN(3000)) * time.Millisecond
 		undo := func() {}
 		switch kind {
@@ -132,7 +138,7 @@
 			c.signal(i, syscall.SIGSTOP)
 			undo = func() { c.signal(i, syscall.SIGCONT) }
 		case 3:
-			for v := range vmCount {
+			for v := range c.config.VMs {
 				if r.IntN(2) == 0 {
 					c.signal(v, syscall.SIGKILL)
 				}
@@ -181,11 +187,15 @@
 	return group.Wait()
 }
 
-func (c *cluster) run(seed uint64, length time.Duration) *client {
-	l := &client{
-		c: c, rand: rand.New(rand.NewPCG(seed, 2)), statuses: map[string]int{},
+func newClient(c *cluster, seed uint64) *client {
+	return &client{
+		c: c, rand: rand.New(rand.NewPCG(seed, 2)), statuses: map[string]int{}, tries: map[string][]string{},
 		http: &http.Client{Timeout: budget + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+}
+
+func (c *cluster) run(seed uint64, length time.Duration) *client {
+	l := newClient(c, seed)
 	defer l.http.CloseIdleConnections()
 	time.Sleep(4 * time.Second) // the processes start and divide the workers
 	var group errgroup.Group
@@ -201,14 +211,14 @@
 			l.mu.Unlock()
 		}
 		if l.rand.IntN(4) == 0 && !l.judging { // each judged job counts, so that one refusal of 20 is allowed as before
-			first, counts, ms, cancel := l.rand.IntN(vmCount), []int{1 + l.rand.IntN(3), 1 + l.rand.IntN(2)}, 40+l.rand.IntN(300), l.rand.IntN(10) == 0
+			first, counts, ms, cancel := l.rand.IntN(c.config.VMs), []int{1 + l.rand.IntN(3), 1 + l.rand.IntN(2)}, 40+l.rand.IntN(300), l.rand.IntN(10) == 0
 			group.Go(func() error {
 				l.sendStored(sequence, first, counts, ms, cancel)
 				return nil
 			})
 			continue
 		}
-		first, tasks, ms := l.rand.IntN(vmCount), 1+l.rand.IntN(4), 40+l.rand.IntN(300)
+		first, tasks, ms := l.rand.IntN(c.config.VMs), 1+l.rand.IntN(4), 40+l.rand.IntN(300)
 		group.Go(func() error {
 			l.send(sequence, first, tasks, ms)
 			return nil
@@ -232,7 +242,7 @@
 	}
 	for _, seed := range append(seeds, regressionSeeds...) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			c := startCluster(t)
+			c := startCluster(t, smallCluster)
 			l := c.run(seed, *length)
 			faults, _ := c.watch.Violations()
 			for _, f := range append(faults, c.failures()...) {
@@ -258,7 +268,7 @@
 
 // Guards against a second order to stop that cuts the requests of a VM that is draining.
 func TestSecondStopOrder(t *testing.T) {
-	c := startCluster(t)
+	c := startCluster(t, smallCluster)
 	time.Sleep(3 * time.Second)
 	c.signal(0, syscall.SIGTERM)
 	time.Sleep(500 * time.Millisecond)
@@ -268,19 +278,3 @@
 		t.Error(f)
 	}
 }
-
-func (c *cluster) saveLogs(dir string) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		c.t.Log(err)
-	}
-	for i := range c.vms {
-		name := fmt.Sprintf("vm-%d.log", i)
-		data, err := os.ReadFile(filepath.Join(c.dir, name))
-		if err == nil {
-			err = os.WriteFile(filepath.Join(dir, name), data, 0o600)
-		}
-		if err != nil {
-			c.t.Log(err)
-		}
-	}
-}
--- a/soak/stored_test.go
+++ b/soak/stored_test.go
@@ -47,7 +47,7 @@
 	body := fmt.Sprintf(`{"spec":"%d 27000","steps":[%s]}`, length, strings.Join(steps, ","))
 	open := false
 	for try := range 4 {
-		code, _, err := l.post(l.c.front((first+try)%vmCount), "/cue/"+id, body)
+		code, _, err := l.post(l.c.front((first+try)%l.c.config.VMs), "/cue/"+id, body)
 		switch {
 		case err == nil && code == http.StatusOK:
 			l.accepted(&storedJob{id: id, tasks: tasks, cancelled: cancel, accepted: time.Now()}, first)
@@ -82,7 +82,7 @@
 	l.count("stored 200")
 	if j.cancelled {
 		time.Sleep(100 * time.Millisecond)
-		_, _, _ = l.ask(http.MethodDelete, l.c.front((first+1)%vmCount), "/cue/"+j.id) // may be refused while the store is away
+		_, _, _ = l.ask(http.MethodDelete, l.c.front((first+1)%l.c.config.VMs), "/cue/"+j.id) // may be refused while the store is away
 	}
 }
 
@@ -113,7 +113,7 @@
 	until := time.Now().Add(finishTime)
 	for i, j := range l.stored {
 		for {
-			code, state, err := l.ask(http.MethodGet, l.c.front(i%vmCount), "/cue/"+j.id)
+			code, state, err := l.ask(http.MethodGet, l.c.front(i%l.c.config.VMs), "/cue/"+j.id)
 			done, failed := l.c.watch.Done(j.id)
 			over := time.Now().After(until)
 			switch {
@@ -139,7 +139,7 @@
 
 // Guards against occurrences of a scheduled job that start early, twice or never when all VMs are killed in between.
 func TestScheduledJob(t *testing.T) {
-	c := startCluster(t)
+	c := startCluster(t, smallCluster)
 	l := &client{c: c, statuses: map[string]int{}, http: &http.Client{Timeout: budget}}
 	defer l.http.CloseIdleConnections()
 	time.Sleep(4 * time.Second) // the processes start and divide the workers
@@ -151,7 +151,7 @@
 		t.Fatalf("scheduled job: %d, %v", code, err)
 	}
 	time.Sleep(time.Until(first.Add(interval + interval/2)))
-	for i := range vmCount {
+	for i := range c.config.VMs {
 		c.signal(i, syscall.SIGKILL)
 	}
 	state := ""
--- a/standin/site.go
+++ b/standin/site.go
@@ -47,13 +47,18 @@
 	Seed         string // host
 	MaxLease     time.Duration
 	GracePeriod  time.Duration
+	LinkMbps     float64 // bandwidth of the VM's link in megabits a second, 0 if unknown
 }
 
 // Encode returns the settings file.
 func (b VMSettings) Encode() string {
+	link := "" // unknown
+	if b.LinkMbps > 0 {
+		link = fmt.Sprintf("limits.link_mbps=%g", b.LinkMbps)
+	}
 	return strings.Join([]string{
 		"node_name=" + b.VM, "ip=" + b.Host, "zone=" + b.Zone, "listen.front=" + b.Host + ":8161", "listen.ready=" + b.Host + ":8167",
 		"internal_port_range=7720,7735", "platform.address=" + b.StoreAddress, "limits.cpu_share=0.4", "seeds=" + b.Seed + ":8166",
-		fmt.Sprintf("bounds.hold_max_ms=%d", b.MaxLease.Milliseconds()), fmt.Sprintf("bounds.grace_s=%g", b.GracePeriod.Seconds()), "",
+		fmt.Sprintf("bounds.hold_max_ms=%d", b.MaxLease.Milliseconds()), fmt.Sprintf("bounds.grace_s=%g", b.GracePeriod.Seconds()), link, "",
 	}, "\n")
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -38,38 +39,45 @@
 type RunChecker struct {
 	Stored   func(job string) bool // says whether the job with the id is stored; nil for none
 	Attempts int                   // failed runs after which a task of a stored job must not start, 0 for any number
+	// Holder names the holder whose orders have a fence; nil if that is not known.
+	Holder func(fence int64) string
 
-	mu      sync.Mutex
-	alive   map[string]string
-	started map[string]bool
-	began   map[string]time.Time // first start by task
-	done    map[string]bool      // tasks that have ended so
-	noted   map[string]bool      // tasks whose end as done was acknowledged
-	failed  map[string]int       // failed runs that were acknowledged, by task
-	faults  []string
+	mu       sync.Mutex
+	alive    map[string][]*Run
+	started  map[string]bool
+	began    map[string]time.Time // first start by task
+	done     map[string]bool      // tasks that have ended so
+	noted    map[string]bool      // tasks whose end as done was acknowledged
+	failed   map[string]int       // failed runs that were acknowledged, by task
+	overlaps [][2]*Run
+	faults   []string
 }
 
 // NewRunChecker returns a RunChecker that has seen nothing.
 func NewRunChecker() *RunChecker {
 	return &RunChecker{
-		alive: map[string]string{}, started: map[string]bool{}, began: map[string]time.Time{}, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{},
+		alive: map[string][]*Run{}, started: map[string]bool{}, began: map[string]time.Time{}, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{},
 	}
 }
 
-func (w *RunChecker) begin(task, where string) {
+// begin notes a run, whose end is to be noted under the same pointer.
+func (w *RunChecker) begin(r Run) *Run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if other, ok := w.alive[task]; ok {
-		w.faults = append(w.faults, fmt.Sprintf("%s: task %s runs on %s and %s", time.Now().Format("15:04:05.000"), task, other, where))
+	run := &r
+	run.Began = time.Now()
+	task, where := run.Task, run.Worker
+	for _, other := range w.alive[task] {
+		w.overlaps = append(w.overlaps, [2]*Run{other, run})
 	}
-	w.alive[task] = where
+	w.alive[task] = append(w.alive[task], run)
 	job, _, _ := strings.Cut(task, ".")
 	w.started[job] = true
 	if w.began[task].IsZero() {
 		w.began[task] = time.Now()
 	}
 	if w.Stored == nil || !w.Stored(job) {
-		return
+		return run
 	}
 	now := time.Now().Format("15:04:05.000")
 	if w.noted[task] {
@@ -78,6 +86,7 @@
 	if w.Attempts > 0 && w.failed[task] >= w.Attempts {
 		w.faults = append(w.faults, fmt.Sprintf("%s: task %s starts on %s after %d failed runs", now, task, where, w.failed[task]))
 	}
+	return run
 }
 
 // acknowledged notes that the system has taken note of an end.
@@ -116,22 +125,42 @@
 	return done, failed
 }
 
-func (w *RunChecker) end(task, where, how string) {
+func (w *RunChecker) end(run *Run, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if how == "done" {
-		w.done[task] = true
+		w.done[run.Task] = true
 	}
-	if w.alive[task] == where {
-		delete(w.alive, task)
+	run.Ended, run.End = time.Now(), how
+	left := slices.DeleteFunc(w.alive[run.Task], func(r *Run) bool { return r == run })
+	if w.alive[run.Task] = left; len(left) == 0 {
+		delete(w.alive, run.Task)
 	}
 }
 
+// Overlaps returns the pairs of runs of a task at the same time.
+func (w *RunChecker) Overlaps() []Overlap {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []Overlap
+	for _, pair := range w.overlaps {
+		o := Overlap{First: *pair[0], Second: *pair[1]}
+		if w.Holder != nil {
+			o.Holders = [2]string{w.Holder(o.First.Fence), w.Holder(o.Second.Fence)}
+		}
+		found = append(found, o)
+	}
+	return found
+}
+
 // Violations returns what was found, and the number of tasks that run.
 func (w *RunChecker) Violations() (faults []string, alive int) {
+	for _, o := range w.Overlaps() {
+		faults = append(faults, o.String())
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]string(nil), w.faults...), len(w.alive)
+	return append(faults, w.faults...), len(w.alive)
 }
 
 // Started says whether a task of the job has ever begun.
@@ -159,6 +188,7 @@
 
 type workerRun struct {
 	number int
+	noted  *Run // by the checker
 	cpu    int
 	began  time.Time
 	length time.Duration
@@ -181,8 +211,8 @@
 
 func (w *Worker) reset() {
 	w.born = time.Now()
-	for task := range w.runs {
-		w.config.Checker.end(task, w.config.ID, "lost")
+	for _, r := range w.runs {
+		w.config.Checker.end(r.noted, "lost")
 	}
 	w.runs, w.highest, w.ended, w.sequence, w.fence, w.lease = map[string]*workerRun{}, map[string]int{}, nil, 0, 0, 0
 }
@@ -312,8 +342,11 @@
 	if w.faults.SlowdownFactor > 0 {
 		run.length = time.Duration(float64(run.length) * w.faults.SlowdownFactor)
 	}
+	run.noted = w.config.Checker.begin(Run{Task: o.Task, Number: o.Run, Worker: w.config.ID, Fence: o.Fence})
+	if earlier := w.runs[o.Task]; earlier != nil {
+		w.config.Checker.end(earlier.noted, "replaced")
+	}
 	w.runs[o.Task] = run
-	w.config.Checker.begin(o.Task, w.config.ID)
 	how := "done"
 	if w.faults.Fail {
 		how = "failed"
@@ -331,7 +364,7 @@
 		return
 	}
 	delete(w.runs, task)
-	w.config.Checker.end(task, w.config.ID, how)
+	w.config.Checker.end(run.noted, how)
 	w.highest[task] = max(w.highest[task], run.number)
 	w.sequence++
 	w.ended = append(w.ended, workerEnd{w.sequence, task, run.number, how})
