Let an order name the incarnation that may carry it out

Change: worker.Target has the incarnation. Messages between VMs of earlier versions leave it out, which means any incarnation.

--- a/worker/worker.go
+++ b/worker/worker.go
@@ -103,8 +103,9 @@
 
 // Target is the worker to which an order is sent.
 type Target struct {
-	ID      string
-	Address string
+	ID          string
+	Address     string
+	Incarnation int64 // the only incarnation that may carry the order out, 0 for any
 }
 
 // StartOrder orders a worker to run a task.
