Let messages wait until a paused VM has dropped its groups

The message that detected a pause consumed it, and until it had ended the schedulers others were handled as if there had been none: a task of a job of the VM itself, which needs no permit, was started seconds after its caller may have sent the job elsewhere.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -29,6 +29,8 @@
 	boot   func() time.Duration // a clock that includes the time in which the VM is suspended
 	steady func() time.Time
 
+	handling sync.Mutex // held from the detection of a pause until the groups are dropped
+
 	mu        sync.Mutex
 	lastBoot  time.Duration
 	resumedAt time.Time // end of the last pause, by the monotonic clock
@@ -75,6 +77,9 @@
 // other VM has claimed, at the revision known before. Ticks call it every tickInterval, so a much longer gap is a
 // pause.
 func (g *Gateway) checkPause(ctx context.Context) {
+	// Messages of other goroutines wait here until the groups are dropped.
+	g.pauseDetector.handling.Lock()
+	defer g.pauseDetector.handling.Unlock()
 	paused := g.pauseDetector.detectPause()
 	if paused == 0 {
 		return
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -115,3 +115,42 @@
 	boot += minPause / 2
 	is.Equal(g.pauseDetector.detectPause(), time.Duration(0)) // a late tick is not a pause
 }
+
+// Guards against a holder that starts tasks after a pause: another message for a group comes between the detection of the
+// pause and the end of the group's scheduler.
+func TestPausedHolderStartsTaskBeforeItsGroupIsDropped(t *testing.T) {
+	is := is.New(t)
+	workers := &countingWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	var boot atomic.Int64 // as a time.Duration
+	g.pauseDetector = newPauseDetector(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
+	g.ctx = t.Context()
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.ownKeysRead = true
+	g.cache.workersReadAt = time.Now().Add(-time.Hour)
+	g.cache.applyOwnWrite(workerEntry("w", 5))
+	g.startDriver(g.ctx, "a#0", 256, false)
+	d := g.driverOf("a#0")
+	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
+	d.apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	submit := func(sequence uint64, id string) {
+		w := job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+		d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: sequence}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
+	}
+	submit(1, "0000000000000001")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(workers.running()), 1) // the worker takes tasks
+	g.mu.Lock()                         // the first message after the pause waits for the lock after it has detected the pause
+	boot.Add(int64(3 * time.Second))
+	g.background(g.ctx, g.checkPause)
+	for pauses := 0; pauses == 0; {
+		time.Sleep(time.Millisecond)
+		pauses, _ = g.pauseDetector.state()
+	}
+	g.background(g.ctx, func(context.Context) { submit(2, "0000000000000002") })
+	time.Sleep(20 * time.Millisecond)
+	g.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(workers.running()), 1)
+}
