--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -52,12 +52,17 @@
 // apply passes a message to the scheduler after checking for a pause of the process, in which the group may have been
 // lost.
 func (d *groupDriver) apply(ctx context.Context, m placement.Message) {
+	now := time.Now() // before the check, so that no lease is longer if the process is paused after it
 	d.checkPause(ctx)
-	d.applyUnchecked(ctx, m)
+	d.applyAt(ctx, now, m)
 }
 
 func (d *groupDriver) applyUnchecked(ctx context.Context, m placement.Message) {
-	effects, ok := d.updateScheduler(time.Now(), m)
+	d.applyAt(ctx, time.Now(), m)
+}
+
+func (d *groupDriver) applyAt(ctx context.Context, now time.Time, m placement.Message) {
+	effects, ok := d.updateScheduler(now, m)
 	if !ok {
 		d.abandonScheduler(ctx, m)
 		return
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -21,6 +21,7 @@
 	unresponsiveWorkers
 	mu     sync.Mutex
 	starts []worker.ActiveRun
+	leases []time.Duration // of the starts
 }
 
 func (c *countingWorkers) Poll(_ context.Context, o worker.PollOrder) (worker.Report, error) {
@@ -32,6 +33,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts = append(c.starts, worker.ActiveRun{Run: o.Run, Progress: 50})
+	c.leases = append(c.leases, o.Lease)
 	return worker.Report{Clock: time.Hour, Incarnation: 1}, nil
 }
 
@@ -154,3 +156,30 @@
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(workers.running()), 1)
 }
+
+// Guards against orders with a new lease of a process that is paused right after its check for a pause.
+func TestPauseAfterTheCheckGrantsANewLease(t *testing.T) {
+	is := is.New(t)
+	workers := &countingWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	g.ctx = t.Context()
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.ownKeysRead = true
+	g.cache.workersReadAt = time.Now().Add(-time.Hour)
+	g.cache.applyOwnWrite(workerEntry("w", 5))
+	g.startDriver(g.ctx, "a#0", 256, false)
+	d := g.driverOf("a#0")
+	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
+	d.apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	before := time.Now()
+	d.checkPause = func(context.Context) { time.Sleep(500 * time.Millisecond) }
+	w := job.Work{ID: "0000000000000001", BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+	d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: 1}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
+	time.Sleep(50 * time.Millisecond)
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(len(workers.leases), 1)
+	granted := workers.leases[0] - time.Hour // on the worker's clock, which stands still
+	is.True(granted < time.Since(before)-500*time.Millisecond+time.Second)
+}
