--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	settings         Settings
 	log              zerolog.Logger
 	self             peer.Hello
+	started          time.Time
 	cache            *storeCache
 	meter            *meter
 	tasks            *errgroup.Group // drivers, links and timers; none of its functions returns an error
@@ -77,7 +78,7 @@
 	cache := newStoreCache(config.Decoder, log)
 	cache.clock = config.Clock
 	return &Gateway{
-		config: config, settings: config.Settings, log: log, self: self,
+		config: config, settings: config.Settings, log: log, self: self, started: time.Now(),
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(config.Clock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
 		cache: cache, meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, knownWorkers: map[uint64]int64{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -117,6 +118,34 @@
 	is.True(g.driverOf("a#0").currentFence() > before)
 }
 
+// Guards against orders of a VM's last life that workers take for those of its next one: it is killed while it holds a group
+// without the store, and holds it again at once.
+func TestRestartedVMHoldsUnderTheFenceOfItsLastLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		keys := newRegistryStore()
+		before := gatewayWithoutStore(t, keys, "v")
+		before.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "v", Incarnation: 1}, revision: 4}
+		before.holdUnconfirmed(before.ctx, "a#0")
+		fence := before.driverOf("a#0").currentFence()
+		after := newGatewayWithoutStore(t, keys, "v") // starts as soon as the other one has ended
+		after.started = time.Now()
+		after.cache.holders["a#0"] = before.cache.holders["a#0"]
+		for _, item := range keys.items {
+			after.cache.applyOwnWrite(item)
+		}
+		after.holdUnconfirmed(after.ctx, "a#0")
+		d := after.driverOf("a#0")
+		is.True(d == nil || d.currentFence() > fence)
+		time.Sleep(1200 * time.Millisecond) // the last orders of the earlier life have expired
+		after.cache.mu.Lock()
+		after.cache.unavailable = true
+		after.cache.mu.Unlock()
+		after.holdUnconfirmed(after.ctx, "a#0")
+		is.True(after.driverOf("a#0") != nil)
+	})
+}
+
 // gatewayWithoutStore returns a VM that has registered without knowing the VMs that have registered before it, can no longer
 // reach the store, knows some other VMs and has lost the holder h of a group.
 func gatewayWithoutStore(t *testing.T, keys *registryStore, vm string, others ...string) *Gateway {
@@ -134,7 +163,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), ClaimRules: claim.DefaultRules(), Store: keys, Workers: unresponsiveWorkers{}, Settings: Settings{VM: vm, Zone: "a", LeaseDuration: time.Second}})
-	g.ctx = ctx
+	g.ctx, g.started = ctx, time.Now().Add(-time.Hour)
 	g.cache.unavailable = true
 	g.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "h", Incarnation: 1}, revision: 4}
 	g.links["h"] = &peerLink{vm: "h", downSince: time.Now().Add(-time.Hour), holds: map[string]int64{}}
