Look for the disconnect of a caller before its job is submitted

A VM that had been paused reached requests after the time in which it waits for disconnects, and started their jobs before the goroutine that watches the connection ran: in the test 3 to 20 of 20 whose callers had closed it.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"samphireplank.example/samphireplank/traffic"
 )
@@ -164,12 +166,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: traffic.MeteredConn{Conn: conn, Meter: l.g.config.Traffic, Purpose: "callers"}}, nil
+	c := &watchedConn{Conn: traffic.MeteredConn{Conn: conn, Meter: l.g.config.Traffic, Purpose: "callers"}}
+	if tcp, ok := conn.(syscall.Conn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	return c, nil
 }
 
 // watchedConn is a connection with one byte of read-ahead.
 type watchedConn struct {
 	net.Conn
+	raw       syscall.RawConn // nil if the connection has none
 	mu        sync.Mutex
 	readAhead []byte
 	err       error
@@ -192,6 +201,25 @@
 	return c.Conn.Read(b)
 }
 
+// isClosed reports whether the caller is known to have closed the connection, without waiting.
+func (c *watchedConn) isClosed() bool {
+	if c.raw == nil {
+		return false
+	}
+	one := make([]byte, 1)
+	n, failed := 0, error(nil)
+	if err := c.raw.Read(func(fd uintptr) bool {
+		n, failed = unix.Read(int(fd), one)
+		return true // also if there is nothing to read
+	}); err != nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAhead = append(c.readAhead, one[:max(n, 0)]...)
+	return n == 0 && failed == nil || errors.Is(failed, unix.ECONNRESET)
+}
+
 // Watch returns a context that ends when the caller of a request disconnects; stop must be called before the response
 // is sent.
 func (g *Gateway) Watch(rc *fasthttp.RequestCtx) (ctx context.Context, stop func()) {
@@ -204,6 +232,10 @@
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return ctx, cancel
 	}
+	if c.isClosed() {
+		cancel() // before the job is submitted
+		return ctx, cancel
+	}
 	g.background(g.ctx, func(context.Context) {
 		defer close(done)
 		one := make([]byte, 1)
--- /dev/null
+++ b/gateway/server_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/placement"
+)
+
+// Guards against a VM that was paused and starts the jobs of callers who have left since: it reaches their requests only after
+// resumeWindow, since many requests have arrived during the pause.
+func TestPausedVMStartsJobsOfCallersWhoHaveLeft(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as on a VM with one core
+	workers := &countingWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	g.ctx = t.Context()
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.ownKeysRead = true
+	g.cache.workersReadAt = time.Now().Add(-time.Hour)
+	g.cache.applyOwnWrite(workerEntry("w", 5))
+	g.startDriver(g.ctx, "a#0", 256, false)
+	g.driverOf("a#0").apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	const requests = 20
+	for i := range requests {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /%016x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", i)
+		is.NoErr(err)
+		is.NoErr(conn.Close()) // the VM is paused, and its caller does not wait any longer
+	}
+	time.Sleep(20 * time.Millisecond)
+	handled := make(chan struct{}, requests)
+	server := g.httpServer(func(rc *fasthttp.RequestCtx) {
+		ctx, stop := g.Watch(rc)
+		g.Submit(ctx, Submission{
+			Work:   job.Work{ID: string(rc.Path()[1:]), BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}},
+			Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute,
+		})
+		stop()
+		handled <- struct{}{}
+	})
+	g.background(g.ctx, func(context.Context) { _ = server.Serve(watchedListener{listener, g}) })
+	for range requests {
+		<-handled
+	}
+	is.NoErr(server.Shutdown())
+	is.Equal(len(workers.running()), 0)
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -77,6 +77,9 @@
 
 // Submit runs a job and returns its result; ctx ends when the caller no longer waits.
 func (g *Gateway) Submit(ctx context.Context, s Submission) Reply {
+	if ctx.Err() != nil {
+		return CallerGone{}
+	}
 	a, first := g.enterJob(ctx, s)
 	defer context.AfterFunc(ctx, func() { g.leaveJob(a) })()
 	if !first {
