Match the result of a start with its order

Runs of two submissions of a job have the same numbers, so the late rejection of an order for the first counted for that of the second, and its task started again beside its run.

--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -43,7 +43,7 @@
 		return
 	}
 	for _, o := range starts {
-		d.handleDelegatedResult(ctx, sender.Conn, peer.Ordered{Group: d.group, Run: o.Run, Open: errSenderUnreachable.Error()})
+		d.handleDelegatedResult(ctx, sender.Conn, peer.Ordered{Group: d.group, Run: o.Run, Lease: o.Lease, Open: errSenderUnreachable.Error()})
 	}
 }
 
@@ -51,7 +51,8 @@
 func (d *groupDriver) handleDelegatedResult(ctx context.Context, connID uint64, m peer.Ordered) {
 	d.mu.Lock()
 	h, ok := d.delegated[m.Run]
-	if ok = ok && h.sender.Conn == connID; ok {
+	// An earlier submission of the job may have had runs of the same numbers.
+	if ok = ok && h.sender.Conn == connID && (m.Lease == 0 || m.Lease == h.order.Lease); ok {
 		delete(d.delegated, m.Run)
 	}
 	d.mu.Unlock()
@@ -105,7 +106,7 @@
 	g.mu.Unlock()
 	for _, o := range m.Starts {
 		if p == nil {
-			c.Send(peer.Ordered{Group: m.Group, Run: o.Run, Reason: worker.ReasonNotSent})
+			c.Send(peer.Ordered{Group: m.Group, Run: o.Run, Lease: o.Lease, Reason: worker.ReasonNotSent})
 			continue
 		}
 		o.Spec = p.spec
@@ -119,7 +120,7 @@
 
 // startResponse returns the message to the holder with the result of a start.
 func (g *Gateway) startResponse(group string, o worker.StartOrder, report worker.Report, err error) peer.Ordered {
-	response := peer.Ordered{Group: group, Run: o.Run, Clock: report.Clock, Born: report.Incarnation}
+	response := peer.Ordered{Group: group, Run: o.Run, Lease: o.Lease, Clock: report.Clock, Born: report.Incarnation}
 	if err == nil {
 		return response
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -79,6 +79,7 @@
 type Ordered struct {
 	Group string
 	worker.Run
+	Lease     time.Duration // of the order, 0 from VMs of earlier versions
 	Clock     time.Duration
 	Born      int64
 	Reason    worker.Reason // of a rejection, empty otherwise
--- a/placement/run.go
+++ b/placement/run.go
@@ -98,8 +98,8 @@
 func (s *Scheduler) handleStartResult(m StartResult) {
 	s.observeStartResult(m)
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
-	if r == nil {
-		return
+	if r == nil || m.SentAt.Before(r.sent) {
+		return // also if the order was for an earlier submission of the job, whose runs had the same numbers
 	}
 	reason, rejected := worker.RejectionReason(m.Err)
 	if m.Err == nil || rejected {
