Let the next holder of durable jobs wait for the workers of its claim

Its list of workers may be up to 0.8 s behind that of the earlier holder, so a task was started again 43 ms after the take-over while it ran on a worker that had just registered. It waits until the list includes the revision of its own record. TestIsolatedHolderRenewsLeases reads the list up to there first.

--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -127,6 +127,7 @@
 	is := is.New(t)
 	workers := &leaseRecorder{}
 	g := holderOfDurableJobs(t, workers)
+	g.cache.confirmWorkerRevision(4) // no worker of an earlier holder is missing
 	g.startDriver(g.ctx, "a#0", 4*fencesPerRevision, false)
 	d := g.driverOf("a#0")
 	submit := func(id string) {
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -45,7 +45,7 @@
 	js.durable, js.mayHaveStarted, js.started = true, false, m.Progress.known()
 	clear(js.keys)
 	s.durableJobs[js.work.ID], s.jobs[js.work.ID] = js, js
-	if m.Resumed || !s.allSynced() {
+	if m.Resumed || !s.durableRunsListed() {
 		// An earlier holder may have started tasks on a worker that has not reported its runs yet, and may go on until its
 		// permit ends, also with jobs that were stored since.
 		js.priorRunsUntil = s.firstUpdate.Add(s.rules.DurableHolderEnd)
@@ -61,6 +61,12 @@
 	}
 }
 
+// durableRunsListed reports whether all workers that an earlier holder may have used have shown their runs under the current
+// fence.
+func (s *Scheduler) durableRunsListed() bool {
+	return s.listRevision >= s.claimRevision && s.allSynced()
+}
+
 // handleRestoreDone processes the deferred ends once all durable jobs of the group are loaded.
 func (s *Scheduler) handleRestoreDone() {
 	if s.restored {
--- a/placement/outdated_test.go
+++ b/placement/outdated_test.go
@@ -190,3 +190,26 @@
 	sg.runUntil(takeOver.Add(4 * time.Second)) // simGroup fails the test if a task runs twice at a time
 	is.True(sg.runsOn(w.ID, "w01"))
 }
+
+// Guards against a second run of a durable job's task whose worker is not in the next holder's list, since it has only just
+// registered.
+func TestNextHolderDoesNotKnowTheWorkerOfDurableTask(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 1, 2)
+	sg.setList(sg.newestListed(20))
+	sg.workers["w00"].Draining = true // so that the task runs on the newest worker
+	sg.setList(sg.newestListed(20))
+	sg.run(20 * time.Millisecond)
+	id := sg.storeJob(jobClass{route: "caller", cores: 40000, attempts: 3, length: 20 * time.Second}, 1)
+	sg.run(300 * time.Millisecond)
+	is.True(sg.runsOn(id, "w01"))
+	sg.workers["w00"].Draining = false
+	listed := sg.newestListed(20)
+	listed.Revision = 30
+	sg.listed, sg.listedAt = WorkerList{Workers: []worker.Worker{sg.workers["w00"].Worker}, Added: map[string]int64{"w00": 10}, Revision: 19}, sg.now
+	sg.claimRevision = 25
+	sg.replaceScheduler()                                         // the earlier holder is lost without a report
+	sg.after(500*time.Millisecond, func() { sg.setList(listed) }) // the next holder's list is 0.5 s behind
+	sg.run(4 * time.Second)                                       // simGroup fails the test if a task runs twice at a time
+	is.True(sg.runsOn(id, "w01"))                                 // adopted
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -12,6 +12,9 @@
 	// IncompleteList means that the worker list may lack workers that an earlier holder used and whose entries have
 	// expired.
 	IncompleteList bool
+	// ClaimRevision is the revision with which the store named this holder, 0 if unknown. The earlier holder may have durable
+	// jobs on any worker whose entry is older.
+	ClaimRevision int64
 	// Restoring means that the durable jobs of the group are still being loaded; RestoreDone ends this state.
 	Restoring bool
 	// LongRunningJobs are the ids of jobs with long-running tasks, as reported by the earlier holder. Their runs are
@@ -23,6 +26,7 @@
 type Scheduler struct {
 	fence           int64
 	incompleteList  bool
+	claimRevision   int64
 	rules           Rules
 	now             time.Time
 	firstUpdate     time.Time
@@ -60,6 +64,7 @@
 	s := &Scheduler{
 		fence:           config.Fence,
 		incompleteList:  config.IncompleteList,
+		claimRevision:   config.ClaimRevision,
 		rules:           config.Rules,
 		workers:         map[string]*workerState{},
 		submissions:     map[SubmissionKey]*jobState{},
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -19,6 +19,7 @@
 	rand           *rand.Rand
 	scheduler      updater
 	generations    int
+	claimRevision  int64 // of the next scheduler
 	workers        map[string]*simWorker
 	workerIDs      []string
 	alive          map[string]int // running runs of a task, over all workers
@@ -208,7 +209,7 @@
 func (sg *simGroup) replaceScheduler() {
 	sg.generations++
 	sg.fenced = false
-	config := Config{Fence: sg.currentFence(), Rules: sg.rules, Restoring: len(sg.stored) > 0}
+	config := Config{Fence: sg.currentFence(), ClaimRevision: sg.claimRevision, Rules: sg.rules, Restoring: len(sg.stored) > 0}
 	if before, ok := sg.scheduler.(*Scheduler); ok {
 		config.LongRunningJobs = before.LongRunningJobs()
 	}
