--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -21,6 +21,7 @@
 	unresponsiveWorkers
 	mu     sync.Mutex
 	starts []worker.ActiveRun
+	leases []time.Duration // of the starts
 }
 
 func (c *countingWorkers) Poll(_ context.Context, o worker.PollOrder) (worker.Report, error) {
@@ -32,6 +33,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts = append(c.starts, worker.ActiveRun{Run: o.Run, Progress: 50})
+	c.leases = append(c.leases, o.Lease)
 	return worker.Report{Clock: time.Hour, Incarnation: 1}, nil
 }
 
@@ -115,3 +117,69 @@
 	boot += minPause / 2
 	is.Equal(g.pauseDetector.detectPause(), time.Duration(0)) // a late tick is not a pause
 }
+
+// Guards against a holder that starts tasks after a pause: another message for a group comes between the detection of the
+// pause and the end of the group's scheduler.
+func TestPausedHolderStartsTaskBeforeItsGroupIsDropped(t *testing.T) {
+	is := is.New(t)
+	workers := &countingWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	var boot atomic.Int64 // as a time.Duration
+	g.pauseDetector = newPauseDetector(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
+	g.ctx = t.Context()
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.ownKeysRead = true
+	g.cache.workersReadAt = time.Now().Add(-time.Hour)
+	g.cache.applyOwnWrite(workerEntry("w", 5))
+	g.startDriver(g.ctx, "a#0", 256, false)
+	d := g.driverOf("a#0")
+	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
+	d.apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	submit := func(sequence uint64, id string) {
+		w := job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+		d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: sequence}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
+	}
+	submit(1, "0000000000000001")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(workers.running()), 1) // the worker takes tasks
+	g.mu.Lock()                         // the first message after the pause waits for the lock after it has detected the pause
+	boot.Add(int64(3 * time.Second))
+	g.background(g.ctx, g.checkPause)
+	for pauses := 0; pauses == 0; {
+		time.Sleep(time.Millisecond)
+		pauses, _ = g.pauseDetector.state()
+	}
+	g.background(g.ctx, func(context.Context) { submit(2, "0000000000000002") })
+	time.Sleep(20 * time.Millisecond)
+	g.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(workers.running()), 1)
+}
+
+// Guards against orders with a new lease of a process that is paused right after its check for a pause.
+func TestPauseAfterTheCheckGrantsANewLease(t *testing.T) {
+	is := is.New(t)
+	workers := &countingWorkers{}
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	g.ctx = t.Context()
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.ownKeysRead = true
+	g.cache.workersReadAt = time.Now().Add(-time.Hour)
+	g.cache.applyOwnWrite(workerEntry("w", 5))
+	g.startDriver(g.ctx, "a#0", 256, false)
+	d := g.driverOf("a#0")
+	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
+	d.apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	before := time.Now()
+	d.checkPause = func(context.Context) { time.Sleep(500 * time.Millisecond) }
+	w := job.Work{ID: "0000000000000001", BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+	d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: 1}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
+	time.Sleep(50 * time.Millisecond)
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(len(workers.leases), 1)
+	granted := workers.leases[0] - time.Hour // on the worker's clock, which stands still
+	is.True(granted < time.Since(before)-500*time.Millisecond+time.Second)
+}
