Reset connections when a stand-in of a worker restarts

Callers saw: nothing. In tests, a worker that had restarted under its id went on to serve the connections of its earlier incarnation, and carried out orders that the earlier one had received, as no restarted process can.

Cause: Crash only cleared the worker's state.

Change: Crash also resets open connections. An order belongs to the incarnation that accepted its connection, and has no effect on a later one. Two incarnations never report the same millisecond as their start.

Evidence: TestCrashedWorkerAnswersEarlierRequest failed before (the poll of the earlier incarnation was answered) and passes. go test -race ./platform ./standin passes.

--- a/standin/worker.go
+++ b/standin/worker.go
@@ -184,6 +184,7 @@
 	fence    int64
 	lease    time.Duration
 	changed  chan struct{}
+	conns    map[net.Conn]time.Time // open connections, with the start of the incarnation that accepted them
 }
 
 type workerRun struct {
@@ -203,14 +204,29 @@
 
 // NewWorker returns a Worker that does not serve yet.
 func NewWorker(config WorkerConfig) *Worker {
-	w := &Worker{config: config, changed: make(chan struct{})}
+	w := &Worker{config: config, changed: make(chan struct{}), conns: map[net.Conn]time.Time{}}
 	w.reset()
-	w.server = &fasthttp.Server{Handler: w.handle, NoDefaultServerHeader: true, Logger: quietLogger{}}
+	w.server = &fasthttp.Server{Handler: w.handle, ConnState: w.trackConn, NoDefaultServerHeader: true, Logger: quietLogger{}}
 	return w
 }
 
+func (w *Worker) trackConn(c net.Conn, state fasthttp.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		w.conns[c] = w.born
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(w.conns, c)
+	}
+}
+
 func (w *Worker) reset() {
-	w.born = time.Now()
+	now := time.Now()
+	if earliest := w.born.Add(time.Millisecond); now.Before(earliest) {
+		now = earliest // two incarnations never report the same millisecond
+	}
+	w.born = now
 	for _, r := range w.runs {
 		w.config.Checker.end(r.noted, "lost")
 	}
@@ -230,11 +246,16 @@
 	w.faults = f
 }
 
-// Crash loses all runs; the worker is back at once under the same id.
+// Crash restarts the worker under its id and at its address: it loses all runs, ends, its fence and its clock, resets its
+// connections, and carries out no order that it received before.
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reset()
+	for c := range w.conns {
+		reset(c)
+	}
+	clear(w.conns)
 	w.signal()
 }
 
@@ -265,8 +286,13 @@
 	Fence      int64  `json:"fence_token"`
 	Through    int64  `json:"acked_through"`
 	WaitMS     int    `json:"wait_ms"`
+
+	receiver time.Time // start of the incarnation that received the order
 }
 
+// reasonCrashed is the reason of orders that are not answered, since the incarnation that received them has ended.
+const reasonCrashed = "crashed"
+
 func (w *Worker) handle(ctx *fasthttp.RequestCtx) {
 	var o workerOrder
 	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
@@ -275,6 +301,7 @@
 	}
 	w.mu.Lock()
 	f := w.faults
+	o.receiver = w.conns[ctx.Conn()]
 	w.mu.Unlock()
 	switch string(ctx.Path()) {
 	case "/v1/run-start":
@@ -298,6 +325,10 @@
 }
 
 func (w *Worker) answer(ctx *fasthttp.RequestCtx, reason string) {
+	if reason == reasonCrashed {
+		closeUnanswered(ctx)
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	body := map[string]any{"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
@@ -312,6 +343,9 @@
 func (w *Worker) start(o workerOrder) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !o.receiver.Equal(w.born) {
+		return reasonCrashed
+	}
 	if o.Fence < w.fence {
 		return "fence"
 	}
@@ -396,6 +430,9 @@
 func (w *Worker) stop(o workerOrder) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !o.receiver.Equal(w.born) {
+		return reasonCrashed
+	}
 	if o.Fence < w.fence {
 		return "fence"
 	}
@@ -411,6 +448,11 @@
 	timer := time.NewTimer(time.Duration(o.WaitMS) * time.Millisecond)
 	defer timer.Stop()
 	w.mu.Lock()
+	if !o.receiver.Equal(w.born) {
+		w.mu.Unlock()
+		w.answer(ctx, reasonCrashed)
+		return
+	}
 	if o.Fence < w.fence {
 		w.mu.Unlock()
 		w.answer(ctx, "fence")
@@ -433,6 +475,11 @@
 			over = true
 		}
 		w.mu.Lock()
+		if !o.receiver.Equal(w.born) {
+			w.mu.Unlock()
+			w.answer(ctx, reasonCrashed)
+			return
+		}
 	}
 	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
