Give no verdict on requests that waited in a socket through a long pause

Callers saw two runs of a task at a time: they had sent a job to a VM that was stalled, left for another VM 1.3 s after its silence began and kept the first connection open. The stalled VM read the request when it went on and started the job as a new one.

Now a request that is read within 0.25 s after a pause of 1.16 s or more (the time after which callers return, less the margin) gets no verdict, as requests from before the pause do. Pauses with less than 0.25 s between them count as one. Shorter pauses change nothing.

Failed before: TestPausedVMStartsRequestThatWaitedInSocket.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -31,7 +31,8 @@
 
 	mu        sync.Mutex
 	lastBoot  time.Duration
-	resumedAt time.Time // end of the last pause, by the monotonic clock
+	resumedAt time.Time     // end of the last pause, by the monotonic clock
+	length    time.Duration // of the last pause, with those that ended less than resumeWindow before it
 	pauses    int
 }
 
@@ -59,16 +60,31 @@
 	if elapsed < minPause {
 		return 0
 	}
-	p.resumedAt = p.steady()
+	now := p.steady()
+	if now.Sub(p.resumedAt) > resumeWindow+elapsed { // the monotonic clock may have run during the pause
+		p.length = 0
+	}
+	p.length += elapsed
+	p.resumedAt = now
 	p.pauses++
 	return elapsed
 }
 
-// state returns the number of pauses so far, and whether the last one has only just ended.
-func (p *pauseDetector) state() (pauses int, justResumed bool) {
+// count returns the number of pauses so far.
+func (p *pauseDetector) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pauses
+}
+
+// justEnded returns the length of a pause that has only just ended, 0 if there is none.
+func (p *pauseDetector) justEnded() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pauses, p.pauses > 0 && p.steady().Sub(p.resumedAt) < resumeWindow
+	if p.pauses == 0 || p.steady().Sub(p.resumedAt) >= resumeWindow {
+		return 0
+	}
+	return p.length
 }
 
 // checkPause drops all groups after a pause in which other VMs may have claimed them. The VM claims again those that no
@@ -92,11 +108,24 @@
 	g.wakeHoldLoop()
 }
 
-// awaitDisconnect delays a request that may have arrived during a pause, so that the disconnect of its caller, who may
-// have retried elsewhere, is detected first.
-func (g *Gateway) awaitDisconnect(ctx context.Context) {
+// checkWaited returns a reply for a request that may have waited during a pause for so long that its caller has sent the
+// job elsewhere, nil for others. They are delayed if they may have arrived during a pause, so that the disconnect of the
+// caller is detected first.
+func (g *Gateway) checkWaited(ctx context.Context) Reply {
 	g.checkPause(g.ctx)
-	if _, justResumed := g.pauseDetector.state(); justResumed {
-		pause(ctx, callerDisconnectWait)
+	paused := g.pauseDetector.justEnded()
+	if paused == 0 {
+		return nil
 	}
+	pause(ctx, callerDisconnectWait)
+	switch {
+	case ctx.Err() != nil:
+		return CallerGone{}
+	case paused > g.settings.ClientRetryDelay-resendMargin:
+		return OutcomeUnknown{Reason: reasonPaused}
+	}
+	return nil
 }
+
+// reasonPaused is the reason why a request has no verdict after a pause.
+const reasonPaused = "the VM was paused, and the caller may have sent the job elsewhere"
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -115,3 +115,30 @@
 	boot += minPause / 2
 	is.Equal(g.pauseDetector.detectPause(), time.Duration(0)) // a late tick is not a pause
 }
+
+// Guards against starting a request that waited in its socket while the VM was paused, whose caller has sent it elsewhere
+// and left the connection open.
+func TestPausedVMStartsRequestThatWaitedInSocket(t *testing.T) {
+	is := is.New(t)
+	boot, now := time.Hour, time.Now()
+	submit := func(pauses ...time.Duration) Reply {
+		g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
+		g.pauseDetector = newPauseDetector(func() time.Duration { return boot }, func() time.Time { return now })
+		g.ctx = t.Context()
+		for i, p := range pauses {
+			if i > 0 {
+				boot, now = boot+100*time.Millisecond, now.Add(100*time.Millisecond)
+				g.checkPause(t.Context())
+			}
+			boot, now = boot+p, now.Add(p)
+			g.checkPause(t.Context())
+		}
+		return g.Submit(t.Context(), Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	}
+	_, undecided := submit(1300 * time.Millisecond).(OutcomeUnknown)
+	is.True(undecided) // not refused by the next group: the job may run elsewhere
+	_, undecided = submit(700*time.Millisecond, 700*time.Millisecond).(OutcomeUnknown)
+	is.True(undecided) // the VM was hardly awake in between
+	_, refused := submit(700 * time.Millisecond).(Refused)
+	is.True(refused) // its caller is still waiting, and no group can be reached
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -86,9 +86,10 @@
 	r := &request{Submission: s, arrived: time.Now(), asked: map[string]bool{}, fences: map[string]int64{}}
 	r.deadline = r.arrived.Add(s.Budget - replyMargin)
 	r.lastRefusal = Refused{Reason: "no group of workers can be reached", RetryAfter: time.Second}
-	g.awaitDisconnect(a.ctx)
-	r.pausesBefore, _ = g.pauseDetector.state()
-	a.reply = r.withoutFalseRefusal(g.runToVerdict(a.ctx, r))
+	if a.reply = g.checkWaited(a.ctx); a.reply == nil {
+		r.pausesBefore = g.pauseDetector.count()
+		a.reply = r.withoutFalseRefusal(g.runToVerdict(a.ctx, r))
+	}
 	g.logReply(r, a.reply)
 	return a.reply
 }
@@ -120,8 +121,8 @@
 			return r.timeoutReply()
 		}
 		g.checkPause(g.ctx)
-		if pauses, _ := g.pauseDetector.state(); pauses != r.pausesBefore {
-			return OutcomeUnknown{Reason: "the VM was paused, and the caller may have sent the job elsewhere"}
+		if g.pauseDetector.count() != r.pausesBefore {
+			return OutcomeUnknown{Reason: reasonPaused}
 		}
 		group, holder := g.pickGroup(r)
 		if holder == nil {
