--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -148,7 +148,7 @@
 	g.background(g.ctx, g.checkPause)
 	for pauses := 0; pauses == 0; {
 		time.Sleep(time.Millisecond)
-		pauses, _ = g.pauseDetector.state()
+		pauses = g.pauseDetector.count()
 	}
 	g.background(g.ctx, func(context.Context) { submit(2, "0000000000000002") })
 	time.Sleep(20 * time.Millisecond)
@@ -183,3 +183,30 @@
 	granted := workers.leases[0] - time.Hour // on the worker's clock, which stands still
 	is.True(granted < time.Since(before)-500*time.Millisecond+time.Second)
 }
+
+// Guards against starting a request that waited in its socket while the VM was paused, whose caller has sent it elsewhere
+// and left the connection open.
+func TestPausedVMStartsRequestThatWaitedInSocket(t *testing.T) {
+	is := is.New(t)
+	boot, now := time.Hour, time.Now()
+	submit := func(pauses ...time.Duration) Reply {
+		g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
+		g.pauseDetector = newPauseDetector(func() time.Duration { return boot }, func() time.Time { return now })
+		g.ctx = t.Context()
+		for i, p := range pauses {
+			if i > 0 {
+				boot, now = boot+100*time.Millisecond, now.Add(100*time.Millisecond)
+				g.checkPause(t.Context())
+			}
+			boot, now = boot+p, now.Add(p)
+			g.checkPause(t.Context())
+		}
+		return g.Submit(t.Context(), Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	}
+	_, undecided := submit(1300 * time.Millisecond).(OutcomeUnknown)
+	is.True(undecided) // not refused by the next group: the job may run elsewhere
+	_, undecided = submit(700*time.Millisecond, 700*time.Millisecond).(OutcomeUnknown)
+	is.True(undecided) // the VM was hardly awake in between
+	_, refused := submit(700 * time.Millisecond).(Refused)
+	is.True(refused) // its caller is still waiting, and no group can be reached
+}
