Pause the process in TestPauseAfterTheCheckGrantsANewLease by its clock

The test replaced the check of a driver whose goroutines were already running; the race detector failed it. It now sleeps in the clock of the pause detector, after the reading. It still fails with the clock of the decision read after the check.

--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -162,6 +162,13 @@
 	is := is.New(t)
 	workers := &countingWorkers{}
 	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	var paused atomic.Bool
+	g.pauseDetector = newPauseDetector(func() time.Duration {
+		if paused.Load() {
+			time.Sleep(500 * time.Millisecond) // after the clock was read
+		}
+		return 0
+	}, time.Now)
 	g.ctx = t.Context()
 	g.cache.partitions["a"] = zonePartition{Groups: 1}
 	g.cache.ownKeysRead = true
@@ -173,7 +180,7 @@
 	d.apply(g.ctx, placement.RestoreDone{})
 	time.Sleep(50 * time.Millisecond) // the worker has been polled
 	before := time.Now()
-	d.checkPause = func(context.Context) { time.Sleep(500 * time.Millisecond) }
+	paused.Store(true)
 	w := job.Work{ID: "0000000000000001", BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
 	d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: 1}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
 	time.Sleep(50 * time.Millisecond)
