Check for a pause between the echo and the submission of a job

Cause: the permit of a submission counts from the echo of the holder's clock, which an idle connection extrapolates to the present. A process that was paused for 0.5 to 2.7 s between its check for a pause and the echo got a permit from the end of the pause for a job whose caller may have sent it elsewhere.

Change: submitTo checks for a pause after the echo. A pause after that leaves an old echo, whose permit has expired.

Failed before: TestPauseAfterTheCheckSubmitsJob (the other VM received the job).

--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,8 +10,11 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
+	"samphireplank.example/samphireplank/claim"
 	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/peer"
 	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/store"
 	"samphireplank.example/samphireplank/worker"
@@ -217,3 +221,53 @@
 	_, refused := submit(700 * time.Millisecond).(Refused)
 	is.True(refused) // its caller is still waiting, and no group can be reached
 }
+
+// submitRecorder counts the jobs that a VM receives.
+type submitRecorder struct {
+	silentPeer
+	jobs atomic.Int64
+}
+
+func (r *submitRecorder) Received(_ *peer.Conn, m peer.Message) {
+	if _, ok := m.(peer.Submit); ok {
+		r.jobs.Add(1)
+	}
+}
+
+// Guards against a job that is sent to another VM after a pause in which its caller may have left: the process was paused
+// between its check for a pause and the message.
+func TestPauseAfterTheCheckSubmitsJob(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	var group errgroup.Group
+	holding := &submitRecorder{}
+	group.Go(func() error {
+		return peer.Serve(t.Context(), listener, peer.Config{Self: peer.Hello{VM: "h", Zone: "a"}}, holding)
+	})
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
+	g.ctx = t.Context()
+	g.cache.ownKeysRead = true
+	g.cache.partitions["a"] = zonePartition{Groups: 1}
+	g.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "h"}, revision: 1}
+	g.mu.Lock()
+	g.links["h"] = g.openLink(t.Context(), "h", listener.Addr().String())
+	g.mu.Unlock()
+	for g.findHolder("a#0") == nil {
+		time.Sleep(5 * time.Millisecond)
+		g.mu.Lock()
+		g.links["h"].holds["a#0"] = 256
+		g.mu.Unlock()
+	}
+	checks := 0
+	g.pauseDetector = newPauseDetector(func() time.Duration {
+		if checks++; checks > 3 { // after those of a new request and of its first submission
+			return 3 * time.Second
+		}
+		return 0
+	}, time.Now)
+	reply := g.Submit(t.Context(), Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: 300 * time.Millisecond})
+	_, undecided := reply.(OutcomeUnknown)
+	is.True(undecided)
+	is.Equal(holding.jobs.Load(), int64(0))
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -413,6 +413,13 @@
 		Sequence: g.nextRequest.Add(1), Group: group, Work: r.Work, Policy: r.Policy, Age: time.Since(r.arrived), Budget: remaining,
 		Resumed: r.resumed, Progress: r.progress, Fence: r.fences[group], Known: g.cache.knownWorkers(),
 	}
+	if h.driver == nil {
+		m.Echo = h.conn.Echo()
+		// The permit counts from the echo, so the caller must not have left in a pause before it.
+		if g.checkPause(g.ctx); g.pauseDetector.count() != r.pausesBefore {
+			return peer.Verdict{Kind: peer.VerdictNotRun, Reason: placement.ReasonHandedOver}, true
+		}
+	}
 	r.fences[group] = max(r.fences[group], h.fence)
 	if g.shouldSendStarts(r, group, h) {
 		m.Sends, m.Work.Spec = true, ""
@@ -424,7 +431,6 @@
 	if h.driver != nil {
 		h.driver.apply(g.ctx, newSubmit(placement.SubmissionKey{Sequence: m.Sequence}, m))
 	} else {
-		m.Echo = h.conn.Echo()
 		h.conn.Send(m)
 	}
 	// The holder ends the job at the deadline; the margin allows for its answer.
