Name the incarnation of the worker in each order of the scheduler

Callers saw: nothing traced to it.

Cause: a start, a stop, a renewed lease and an acknowledgement are decided for one incarnation of a worker, but any later one carried them out. A list that shows a restart even led to a poll that acknowledged ends of the new incarnation unseen.

Change: all these orders name the incarnation that the worker's responses have shown; that of the list no longer counts, since an entry may be old or a wall clock be set back. Polls that change nothing name none and so show a restart without a further call. A rejection for another incarnation clears the known one, and the worker is read again, after ProbeInterval if its incarnation had been read just before. Runs whose every start was bound to the earlier incarnation have ended with it. Starts that a VM of a job sends may come from a version that leaves the field out, so the stop for the new incarnation stays for them, and on the other ways in which a restart shows.

So the simulated workers don't carry out an order for another incarnation: they reject it, find the connection closed or, with faults, do not respond. A late order without an incarnation still reaches any. The simulated group no longer answers a poll of the earlier incarnation from the next one.

--- a/gateway/sim_worker_test.go
+++ b/gateway/sim_worker_test.go
@@ -267,7 +267,7 @@
 const simOrderBytes = 400
 
 // send lets an order reach a worker and its response return. An order may be lost, or carried out late, also by another
-// incarnation; so may its response.
+// incarnation if it names none; so may its response.
 func (c simWorkers) send(ctx context.Context, to worker.Target, timeout time.Duration, what string, bytes int, handle func(*simWorker, func(worker.Report, error))) (worker.Report, error) {
 	if !c.process.awake() {
 		<-ctx.Done()
@@ -367,6 +367,12 @@
 			respond(worker.Report{}, &worker.RejectedError{Reason: worker.ReasonWrongIncarnation})
 			return
 		}
+		if to.Incarnation != 0 && to.Incarnation != w.Incarnation { // worker.Client never lets it be carried out
+			if s.chance(0.5) {
+				respond(worker.Report{}, &worker.RejectedError{Reason: worker.ReasonWrongIncarnation})
+			}
+			return
+		}
 		handle(w, respond)
 	})
 }
--- a/placement/expiry_test.go
+++ b/placement/expiry_test.go
@@ -44,10 +44,16 @@
 	return d.update(PollResult{Order: p.Order, SentAt: d.now, Report: worker.Report{Clock: d.clock, Incarnation: 1, Running: running}})
 }
 
+// directPolicy is the policy of jobs of a directScheduler.
+var directPolicy = job.Policy{Route: "r", Service: "cue", Stretch: 4, Target: 10 * time.Second}
+
+func oneTask(id string, milliCores int) job.Work {
+	return job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: 3 * time.Second, Need: worker.Resources{MilliCores: milliCores}}}}
+}
+
 func (d *directScheduler) submit(conn uint64, id string, milliCores int) []Effect {
 	m := Submit{
-		Key: SubmissionKey{Conn: conn, Sequence: 1}, Work: job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: 3 * time.Second, Need: worker.Resources{MilliCores: milliCores}}}},
-		Policy: job.Policy{Route: "r", Service: "cue", Stretch: 4, Target: 10 * time.Second}, Budget: 10 * time.Second,
+		Key: SubmissionKey{Conn: conn, Sequence: 1}, Work: oneTask(id, milliCores), Policy: directPolicy, Budget: 10 * time.Second,
 	}
 	if conn != 0 {
 		m.PermitUntil = d.now.Add(750 * time.Millisecond)
--- a/placement/run.go
+++ b/placement/run.go
@@ -20,7 +20,8 @@
 	confirmed       time.Time     // when the worker confirmed the start; zero before
 	startExpiry     time.Duration // on the worker's clock; the worker rejects the start order after it, see neverExpires
 	tries           int
-	openStarts      int // start orders that may still be carried out
+	openStarts      int   // start orders that may still be carried out
+	boundTo         int64 // the only incarnation that may carry out its starts, 0 if any may
 	expected        time.Duration
 	sound           time.Duration // expected run time on a sound worker
 	pValue          float64       // probability that a run on a sound worker is as slow; 0 while unknown
@@ -71,6 +72,14 @@
 	lease := s.extendLease(r.worker)
 	r.startExpiry = max(r.startExpiry, lease) // an earlier try may still be carried out
 	r.sender = r.job.sender
+	switch {
+	case r.sender != SubmissionKey{}:
+		r.boundTo = 0 // a VM of an earlier version does not bind the order
+	case r.tries == 1:
+		r.boundTo = r.worker.incarnation
+	case r.boundTo != r.worker.incarnation:
+		r.boundTo = 0
+	}
 	s.emit(StartRun{Sender: r.sender, Order: worker.StartOrder{
 		Target:     target(r.worker),
 		Run:        worker.Run{Task: r.taskName, Number: r.number},
@@ -98,13 +107,17 @@
 func (s *Scheduler) handleStartResult(m StartResult) {
 	s.observeStartResult(m)
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
-	if r == nil {
-		return
-	}
 	reason, rejected := worker.RejectionReason(m.Err)
-	if m.Err == nil || rejected {
+	if r != nil && (m.Err == nil || rejected) {
 		r.openStarts = max(r.openStarts-1, 0)
 	}
+	if w != nil && reason == worker.ReasonWrongIncarnation {
+		s.handleStartForOtherIncarnation(w, r, m.Order.Target)
+		return
+	}
+	if r == nil {
+		return
+	}
 	if w.fromEarlierIncarnation(m.Report, m.SentAt) {
 		return
 	}
@@ -166,11 +179,6 @@
 			s.stopFenced(w.ID)
 			return
 		}
-	case worker.ReasonWrongIncarnation:
-		s.loseRuns(w, "worker restarted")
-		w.synced, w.handledSequence, w.ackedSequence, w.incarnation = false, 0, 0, 0
-		clear(w.pendingAcks)
-		return
 	case worker.ReasonStaleRun:
 		r.job.steps[r.step].tasks[r.index].lastRun += runNumberSkip
 	case worker.ReasonUnhealthy:
@@ -185,6 +193,18 @@
 	s.loseRun(r, string(reason))
 }
 
+// handleStartForOtherIncarnation handles a start that was rejected since its worker has restarted: unless another try is open,
+// the run is not on the new incarnation, and that of the earlier one has ended with it.
+func (s *Scheduler) handleStartForOtherIncarnation(w *workerState, r *run, to worker.Target) {
+	if r != nil {
+		s.logEvent("start-rejected", r.job.work.ID, w.ID, string(worker.ReasonWrongIncarnation), map[string]int64{"run": int64(r.number)})
+	}
+	s.rejectedByIncarnation(w, to)
+	if r != nil && w.runs[r.taskName] == r && r.openStarts == 0 && r.confirmed.IsZero() {
+		s.loseRun(r, "worker restarted")
+	}
+}
+
 // runNumberSkip raises a run number above those of an earlier submission of the same job.
 const runNumberSkip = 16
 
@@ -229,6 +249,14 @@
 // handleStopResult processes the response to a stop order: a run that had not started never will.
 func (s *Scheduler) handleStopResult(m StopResult) {
 	w, r := s.findRun(m.Order.ID, m.Order.Run)
+	reason, rejected := worker.RejectionReason(m.Err)
+	if w != nil && reason == worker.ReasonWrongIncarnation {
+		s.rejectedByIncarnation(w, m.Order.Target)
+		if r != nil && w.runs[r.taskName] == r && m.Order.Incarnation != target(w).Incarnation && !r.lastStopAt.Equal(s.now) {
+			s.sendStop(r) // to the present incarnation, which a start may still reach
+		}
+		return
+	}
 	if r == nil {
 		return
 	}
@@ -243,7 +271,7 @@
 		}
 		return
 	}
-	if reason, ok := worker.RejectionReason(m.Err); ok && reason == worker.ReasonStaleFence {
+	if rejected && reason == worker.ReasonStaleFence {
 		if m.Order.Fence >= s.fence {
 			s.stopFenced(w.ID)
 			return
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -347,7 +348,7 @@
 			return
 		}
 		r, err := handle(w)
-		if w.responsesLost {
+		if w.responsesLost || errors.Is(err, noResponseError{}) {
 			return
 		}
 		sg.after(simLatency, func() { finish(r, err) })
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"errors"
 	"sort"
 	"time"
 
@@ -21,7 +22,26 @@
 	return r, &worker.RejectedError{Reason: reason, Report: r}
 }
 
+// rejectForOther rejects an order for another incarnation of the worker: worker.Client never lets one be carried out. Or it
+// finds the connection closed, or, with faults, gets no response. It returns nil if this incarnation may carry out the order.
+func (sg *simGroup) rejectForOther(w *simWorker, to worker.Target) error {
+	switch {
+	case to.Incarnation == 0 || to.Incarnation == w.Incarnation:
+		return nil
+	case sg.rand.IntN(2) == 0:
+		return &worker.RejectedError{Reason: worker.ReasonWrongIncarnation}
+	case sg.withFaults && sg.rand.IntN(2) == 0:
+		return noResponseError{}
+	}
+	return errConnectionClosed
+}
+
+var errConnectionClosed = errors.New("the worker has closed the connection")
+
 func (sg *simGroup) handleStart(w *simWorker, o worker.StartOrder) (worker.Report, error) {
+	if err := sg.rejectForOther(w, o.Target); err != nil {
+		return worker.Report{}, err
+	}
 	if o.Fence < w.fence {
 		return sg.reject(w, worker.ReasonStaleFence)
 	}
@@ -151,6 +171,9 @@
 }
 
 func (sg *simGroup) handleStop(w *simWorker, o worker.StopOrder) (worker.Report, error) {
+	if err := sg.rejectForOther(w, o.Target); err != nil {
+		return worker.Report{}, err
+	}
 	if o.Fence < w.fence {
 		return sg.reject(w, worker.ReasonStaleFence)
 	}
@@ -185,6 +208,12 @@
 		if w.unreachable {
 			return
 		}
+		if err := sg.rejectForOther(w, o.Target); err != nil {
+			if !w.responsesLost && !errors.Is(err, noResponseError{}) {
+				sg.after(simLatency, func() { finish(worker.Report{}, err) })
+			}
+			return
+		}
 		if o.Fence < w.fence {
 			if !w.responsesLost {
 				sg.after(simLatency, func() { finish(sg.reject(w, worker.ReasonStaleFence)) })
@@ -199,10 +228,10 @@
 			sg.acknowledge(w.ended[0])
 			w.ended = w.ended[1:]
 		}
-		replied := false
+		replied, incarnation := false, w.Incarnation
 		reply := func() {
-			if replied {
-				return
+			if replied || w.Incarnation != incarnation {
+				return // or the connection ended with the earlier incarnation
 			}
 			replied = true
 			w.answerPoll = nil
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -10,11 +10,11 @@
 // workerState is the scheduler's view of one worker.
 type workerState struct {
 	worker.Worker
-	removed         time.Time // when its entry disappeared; zero while it is listed
-	added           int64     // revision with which its entry was created, 0 if unknown
-	synced          bool      // the worker has responded to a poll under the current fence
-	incarnation     int64
-	incarnationAt   time.Time     // when a response or the list first showed the incarnation
+	removed         time.Time     // when its entry disappeared; zero while it is listed
+	added           int64         // revision with which its entry was created, 0 if unknown
+	synced          bool          // the worker has responded to a poll under the current fence
+	incarnation     int64         // by its responses, 0 if unknown
+	incarnationAt   time.Time     // when a response showed the incarnation first, or that the one before has ended
 	clock           time.Duration // latest clock reading reported by the worker
 	clockAt         time.Time     // when that reading was received
 	free            worker.Resources
@@ -87,7 +87,7 @@
 }
 
 func newWorkerState(w worker.Worker) *workerState {
-	return &workerState{Worker: w, incarnation: w.Incarnation, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1, slowProduct: 1}}
+	return &workerState{Worker: w, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1, slowProduct: 1}}
 }
 
 func (s *Scheduler) sortWorkers() {
@@ -129,7 +129,7 @@
 // fromEarlierIncarnation reports whether the response to an order may be that of an incarnation before the known one: the
 // order was sent before that one was known.
 func (w *workerState) fromEarlierIncarnation(report worker.Report, sentAt time.Time) bool {
-	return report.Incarnation != 0 && w.incarnation != 0 && report.Incarnation != w.incarnation && sentAt.Before(w.incarnationAt)
+	return report.Incarnation != 0 && report.Incarnation != w.incarnation && sentAt.Before(w.incarnationAt)
 }
 
 // readClockAndIncarnation records the worker's clock and incarnation from a response. It returns false after a restart.
@@ -149,15 +149,16 @@
 	return false
 }
 
-// workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any.
+// workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any. The
+// incarnation is 0 if it is not known yet.
 func (s *Scheduler) workerRestarted(w *workerState, born int64, confirmed *run) {
 	w.incarnation, w.incarnationAt = born, s.now
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
 		case r.openStarts > 0:
-			// A start order may still reach the new incarnation, which does not know that the earlier one was ordered to stop
-			// the run, and whose clock would not reject the order as expired.
+			// A start order of an unknown incarnation, or sent by a VM of an earlier version, may still reach the new one, which
+			// does not know that the earlier one was ordered to stop the run, and whose clock would not reject it as expired.
 			r.confirmed, r.startExpiry, r.baseClock = time.Time{}, neverExpires, 0
 			if r.stopping {
 				s.sendStop(r)
@@ -173,6 +174,29 @@
 	clear(w.pendingAcks)
 }
 
+// rejectedByIncarnation handles an order that was rejected since another incarnation is at the worker's address. The order has
+// certainly not been carried out there; a poll for any incarnation shows which one it is.
+func (s *Scheduler) rejectedByIncarnation(w *workerState, to worker.Target) {
+	switch {
+	case to.Address != w.Address:
+	case to.Incarnation == 0: // the address belongs to another worker
+		s.loseRuns(w, "worker restarted")
+		w.synced, w.handledSequence, w.ackedSequence, w.incarnation = false, 0, 0, 0
+		clear(w.pendingAcks)
+	case to.Incarnation == w.incarnation:
+		readAt := w.incarnationAt
+		for _, r := range w.sortedRuns() {
+			if r.boundTo == w.incarnation {
+				s.loseRun(r, "worker restarted") // no try of its start can reach the new incarnation
+			}
+		}
+		s.workerRestarted(w, 0, nil)
+		if s.now.Sub(readAt) < s.rules.ProbeInterval {
+			w.probeAt = s.now.Add(s.rules.ProbeInterval) // limits the polls of a worker that rejects each incarnation that it reports
+		}
+	}
+}
+
 // clockLowerBound returns a time that the worker's clock has certainly reached.
 func (s *Scheduler) clockLowerBound(w *workerState) time.Duration {
 	since := s.now.Sub(w.clockAt)
@@ -231,6 +255,10 @@
 		default:
 			continue
 		}
+		if order.Lease == 0 && (!w.synced || order.AckedThrough <= w.ackedSequence) {
+			// It changes nothing at the worker, so any incarnation may respond, and thus show a restart.
+			order.Incarnation, order.AckedThrough = 0, 0
+		}
 		order.Timeout = order.Wait + s.adaptivePollMargin()
 		w.polling, w.lastPollAt = true, s.now
 		w.probeAt = s.now.Add(s.rules.ProbeInterval)
@@ -241,7 +269,9 @@
 	}
 }
 
-func target(w *workerState) worker.Target { return worker.Target{ID: w.ID, Address: w.Address} }
+func target(w *workerState) worker.Target {
+	return worker.Target{ID: w.ID, Address: w.Address, Incarnation: w.incarnation}
+}
 
 // pollWait returns how long a poll may wait for a run to end: less if the progress of a run is due to be checked
 // earlier, or if two tries would outlast the lease because responses are slow.
@@ -288,9 +318,9 @@
 			}
 			return
 		case worker.ReasonWrongIncarnation:
-			s.loseRuns(w, "worker restarted")
-			w.synced, w.handledSequence, w.ackedSequence, w.incarnation = false, 0, 0, 0
-			clear(w.pendingAcks)
+			if s.rejectedByIncarnation(w, order.Target); order.Incarnation != 0 {
+				return
+			}
 		}
 	}
 	w.unansweredCalls++
