Count the full lease of a restarted worker

Callers saw: nothing traced to it; found by reading.

Cause: after a restart, an earlier holder may have renewed the lease of the new incarnation in full until it saw this holder's fence. The first poll counts that, as at a take-over. If a start was what reached the new incarnation first (a VM of an earlier version sends starts for any incarnation) and the worker is unreachable from then on, only this holder's own, shorter lease was counted, and the task started again beside its run.

Change: a restart extends leaseExpiry to a full lease from the moment when it is seen, with drift and the time of a kill.

Evidence: TestLeaseOfNextIncarnationWasRenewedByEarlierHolder failed before: the task started again 510 ms before the lease of its worker could expire.

Golden files are unchanged.

--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -192,3 +192,32 @@
 	_, again := find(effects, func(StartRun) bool { return true })
 	is.True(!again)
 }
+
+// Guards against a second run of a task on a worker that has restarted and is unreachable since: the earlier holder has renewed
+// the lease of the new incarnation in full, and a start of this holder, which a VM of an earlier version sent for any
+// incarnation, runs there until then.
+func TestLeaseOfNextIncarnationWasRenewedByEarlierHolder(t *testing.T) {
+	is := is.New(t)
+	d := newDirectScheduler(t)
+	d.after(2 * time.Second) // the leases of the earlier holder have expired
+	d.update(Tick{})
+	m := Submit{Key: SubmissionKey{Conn: 7, Sequence: 1}, Work: oneTask("00000000000000aa", 40000), Policy: directPolicy, Budget: 10 * time.Second, DelegatedStarts: true, PermitUntil: d.now.Add(100 * time.Millisecond)}
+	effects := d.update(m)
+	start, ok := find(effects, func(s StartRun) bool { return s.Order.ID == "w1" })
+	is.True(ok)
+	poll, ok := find(effects, func(p PollWorker) bool { return p.Order.ID == "w1" })
+	is.True(ok)
+	d.after(10 * time.Millisecond) // the start reaches the new incarnation, whose lease the earlier holder renews until then
+	end := d.now.Add(d.rules.maxElapsed(d.rules.LeaseDuration) + d.rules.KillTime)
+	d.update(StartResult{Order: start.Order, SentAt: d.now.Add(-10 * time.Millisecond), Report: restarted(2)})
+	permits := Permits{7: d.now.Add(10 * time.Second)}
+	d.update(PollResult{Order: poll.Order, SentAt: d.now.Add(-10 * time.Millisecond), Err: errConnectionClosed})
+	for d.now.Before(end) {
+		if _, again := find(d.update(Tick{Permits: permits}), func(s StartRun) bool { return s.Order.ID == "w2" }); again {
+			t.Fatalf("the task starts again %v before the lease of its worker has expired", end.Sub(d.now))
+		}
+		d.after(10 * time.Millisecond)
+	}
+	_, again := find(d.update(Tick{Permits: permits}), func(s StartRun) bool { return s.Order.ID == "w2" })
+	is.True(again)
+}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -172,6 +172,9 @@
 	s.dropOrphans(w)
 	w.synced, w.handledSequence, w.ackedSequence, w.probeAt = false, 0, 0, s.now
 	clear(w.pendingAcks)
+	if until := s.runsEnd(s.rules.LeaseDuration); until.After(w.leaseExpiry) {
+		w.leaseExpiry = until // an earlier holder may have granted the new incarnation a lease until now
+	}
 }
 
 // rejectedByIncarnation handles an order that was rejected since another incarnation is at the worker's address. The order has
