Start durable tasks on a restarted worker only with later evidence

Cause: a lost holder that doesn't know that it was replaced may act on durable jobs until its permit ends. Workers that the next holder has read reject its orders. One that restarts after that forgets the fence, and the lost holder, which sees the new incarnation before the next one does, starts a task there while the next holder starts it elsewhere.

Change: the permit has the time of its evidence. A holder starts durable tasks on a worker whose present incarnation it saw first during its tenure, and renews leases for their runs, only if the evidence is later than that sight. Whoever replaces it then takes over after that sight and reads that incarnation, or a later one, which no order of the earlier holder reaches (the commit on incarnations). A sight is a response or the list, so this also holds for workers that restart before the first contact and for new ones, under any id or address. What the first list of a holder has counts as known before. Where the list has no incarnation, so does the first response. Evidence of the store is renewed within 0.95 s, so a restarted worker has no durable tasks for up to about that time.

Left: a holder whose claim is answered late counts its first list as seen before its claim. Another holder would have to claim the group, read a worker, and that worker restart and be listed, all before the first claim's response.

Golden files are unchanged.

--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -214,3 +214,57 @@
 	is.True(durablePermitDuration >= 2*ownWatchWait+rules.LeaseDuration-placement.PermitLease-100*time.Millisecond) // full leases between two watches
 	is.True(rules.DurableHolderEnd < 3*time.Second)                                                                 // without a run that long, a job counts as lost
 }
+
+// restartingWorkers are workers whose incarnation changes.
+type restartingWorkers struct {
+	countingWorkers
+	incarnation atomic.Int64
+}
+
+func (r *restartingWorkers) Poll(ctx context.Context, o worker.PollOrder) (worker.Report, error) {
+	report, err := r.countingWorkers.Poll(ctx, o)
+	report.Incarnation = r.incarnation.Load()
+	return report, err
+}
+
+func (r *restartingWorkers) Start(ctx context.Context, o worker.StartOrder) (worker.Report, error) {
+	report, err := r.countingWorkers.Start(ctx, o)
+	report.Incarnation = r.incarnation.Load()
+	return report, err
+}
+
+// Guards against a lost holder that starts durable jobs on a worker that has restarted since the last evidence of its record.
+func TestRestartedWorkerIsUsedOnEarlierEvidence(t *testing.T) {
+	is := is.New(t)
+	workers := &restartingWorkers{}
+	workers.incarnation.Store(1)
+	g := holderOfDurableJobs(t, workers)
+	g.startDriver(g.ctx, "a#0", 4*fencesPerRevision, false)
+	d := g.driverOf("a#0")
+	confirm := func() {
+		g.cache.mu.Lock()
+		defer g.cache.mu.Unlock()
+		g.cache.confirmedAt = bootClock()
+	}
+	wait := func() {
+		for range 30 {
+			time.Sleep(5 * time.Millisecond)
+			d.apply(g.ctx, placement.Tick{})
+		}
+	}
+	confirm()
+	wait() // the worker is read
+	workers.incarnation.Store(2)
+	target := worker.Target{ID: "w", Address: "w:1"}
+	d.apply(g.ctx, placement.PollResult{Order: worker.PollOrder{Target: target}, SentAt: time.Now(), Report: worker.Report{Clock: time.Hour, Incarnation: 2}})
+	w := job.Work{ID: "0000000000000001", Steps: []job.Step{{Count: 1, Estimate: time.Hour}}}
+	d.apply(g.ctx, placement.Submit{Durable: true, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}})
+	wait()
+	is.True(g.durablePermit(d) > 0)
+	is.Equal(len(workers.running()), 0)
+	confirm()
+	for end := time.Now().Add(2 * time.Second); len(workers.running()) == 0 && time.Now().Before(end); {
+		wait()
+	}
+	is.Equal(len(workers.running()), 1)
+}
--- a/gateway/recovery.go
+++ b/gateway/recovery.go
@@ -84,7 +84,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if durable {
-			d.scheduler.Update(now, placement.DurablePermit{Until: now.Add(permit)})
+			d.scheduler.Update(now, placement.DurablePermit{Until: now.Add(permit), Evidence: now.Add(permit - durablePermitDuration)})
 		}
 		if s, ok := m.(placement.Submit); ok && len(s.Work.Steps) > 0 {
 			d.lastNeed[s.Policy.Service] = s.Work.Steps[0].Need
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -275,7 +275,7 @@
 // fitsOnOtherWorker reports whether another worker has room for the task of a run.
 func (s *Scheduler) fitsOnOtherWorker(r *run) bool {
 	for _, w := range s.sortedWorkers {
-		if w != r.worker && s.acceptsWork(w) && r.need.FitsIn(w.free) && s.allowed(r.job, r.step, w) {
+		if w != r.worker && s.acceptsWork(w) && r.need.FitsIn(w.free) && s.allowed(r.job, r.step, w) && s.mayUse(r.job, w) {
 			return true
 		}
 	}
--- a/placement/message.go
+++ b/placement/message.go
@@ -142,7 +142,10 @@
 
 // DurablePermit sets until when the holder may start runs of durable jobs and renew their leases. Without this message
 // there is no limit.
-type DurablePermit struct{ Until time.Time }
+type DurablePermit struct {
+	Until    time.Time
+	Evidence time.Time // when the evidence for it showed that no other VM had replaced the holder
+}
 
 // HandOver stops the Scheduler, which reports the progress of its jobs to their submitters.
 type HandOver struct{}
--- a/placement/order.go
+++ b/placement/order.go
@@ -146,7 +146,7 @@
 	var best *workerState
 	var bestCost float64
 	for _, w := range s.sortedWorkers {
-		if !s.acceptsWork(w) || !spec.Need.FitsIn(w.free) || !s.allowed(js, i, w) || s.leaseOutlastsPermit(js, w) || !s.knownToVMs(js, w) {
+		if !s.acceptsWork(w) || !spec.Need.FitsIn(w.free) || !s.allowed(js, i, w) || s.leaseOutlastsPermit(js, w) || !s.knownToVMs(js, w) || !s.mayUse(js, w) {
 			continue
 		}
 		length := time.Duration(float64(s.expectedDuration(js, i)) * w.health.slowdown)
@@ -197,7 +197,7 @@
 	var best *workerState
 	var bestAt time.Time
 	for _, w := range s.sortedWorkers {
-		if _, kept := reserved[w]; kept || !s.usable(w) || s.now.Before(w.health.ejectedUntil) || !s.allowed(js, i, w) || !s.knownToVMs(js, w) {
+		if _, kept := reserved[w]; kept || !s.usable(w) || s.now.Before(w.health.ejectedUntil) || !s.allowed(js, i, w) || !s.knownToVMs(js, w) || !s.mayUse(js, w) {
 			continue
 		}
 		at, ok := s.roomAt(w, js.work.Steps[i].Need)
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -14,7 +14,9 @@
 
 // Durable jobs have no submission. The holder acts on them only until a DurablePermit ends, which the VM extends while it has
 // recent evidence that the store names no other holder of the group. Another holder waits for DurableHolderEnd before it starts a
-// task that may be running on a worker which it has not read.
+// task that may be running on a worker which it has not read. A worker that restarts after that holder has read it would accept
+// orders of the earlier one. So each holder acts on durable jobs on a worker that it saw first during its tenure only with later
+// evidence: whoever replaces it then reads that incarnation, or a later one, which no earlier order reaches.
 
 // Permits holds, by connection, until when the holder may act on submissions. A connection without an entry needs none.
 type Permits map[uint64]time.Time
@@ -100,6 +102,17 @@
 	return !js.durable || !limited || s.now.Before(until)
 }
 
+// mayUse reports whether the holder may start tasks of the job on a worker, or renew their leases, see DurablePermit.
+func (s *Scheduler) mayUse(js *jobState, w *workerState) bool {
+	return !js.durable || s.evidenceCovers(w)
+}
+
+// evidenceCovers reports whether the evidence of the permit for durable jobs is later than the first sight of the worker's present
+// incarnation.
+func (s *Scheduler) evidenceCovers(w *workerState) bool {
+	return s.durablePermit.IsZero() || w.seenAt.IsZero() || s.durableEvidence.After(w.seenAt)
+}
+
 // logDurablePermit logs when the permit for durable jobs has ended or is renewed, if there are such jobs.
 func (s *Scheduler) logDurablePermit() {
 	ended := !s.durablePermit.IsZero() && !s.now.Before(s.durablePermit)
@@ -123,7 +136,7 @@
 func (s *Scheduler) maxLease(w *workerState) time.Duration {
 	length := s.rules.LeaseDuration - leaseReserve
 	if w.unknownRuns > 0 {
-		if !s.mustKeepLease(w) {
+		if !s.mustKeepLease(w) || !s.evidenceCovers(w) {
 			return 0 // see syncWorker
 		}
 		if !s.durablePermit.IsZero() { // these are runs of long-running durable jobs
@@ -131,6 +144,9 @@
 		}
 	}
 	for _, r := range w.runs {
+		if !s.mayUse(r.job, w) {
+			return 0
+		}
 		if until, limited := s.permit(r.job); limited {
 			length = min(length, until.Add(PermitLease).Sub(s.now))
 		}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -39,6 +39,7 @@
 	startRTT        rttEstimator
 	permits         Permits
 	durablePermit   time.Time            // zero if there is no limit
+	durableEvidence time.Time            // of the permit
 	durableStopped  bool                 // the end of the permit was logged
 	known           map[uint64]int64     // revision of the newest worker entry that a VM knows of, by connection
 	listRevision    int64                // up to which the worker list is complete
@@ -120,6 +121,9 @@
 		s.tick(m)
 	case DurablePermit:
 		s.durablePermit = m.Until
+		if m.Evidence.After(s.durableEvidence) {
+			s.durableEvidence = m.Evidence
+		}
 		return nil
 	case HandOver:
 		s.handOver(true)
--- /dev/null
+++ b/placement/tenure_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/worker"
+)
+
+// durableHolder is a holder of durable jobs with one worker, w1.
+type durableHolder struct {
+	*directScheduler
+	entry worker.Worker
+	poll  PollWorker // the last one
+}
+
+// newDurableHolder returns a holder whose first list has the incarnation 1 of w1, and which has read the given one.
+func newDurableHolder(t *testing.T, incarnation int64) *durableHolder {
+	d := &directScheduler{Scheduler: New(Config{Fence: 256, Rules: DefaultRules()}), t: t, now: time.Unix(1_700_000_000, 0), clock: time.Hour}
+	h := &durableHolder{directScheduler: d, entry: worker.Worker{ID: "w1", Service: "cue", Address: "w1:1", Capacity: worker.Resources{MilliCores: 64000}, Incarnation: 1}}
+	h.confirm(0)
+	h.do(WorkerList{Workers: []worker.Worker{h.entry}})
+	h.answer(incarnation, nil)
+	return h
+}
+
+// confirm renews the permit by evidence of some time ago.
+func (h *durableHolder) confirm(ago time.Duration) {
+	h.update(DurablePermit{Until: h.now.Add(permitOfEvidence - ago), Evidence: h.now.Add(-ago)})
+}
+
+func (h *durableHolder) do(m Message) []Effect {
+	effects := h.update(m)
+	if p, ok := find(effects, func(PollWorker) bool { return true }); ok {
+		h.poll = p
+	}
+	return effects
+}
+
+// answer lets an incarnation answer the last poll, and the polls after it if it is the first answer of that incarnation.
+func (h *durableHolder) answer(incarnation int64, running []worker.ActiveRun) (effects []Effect) {
+	for range 2 {
+		effects = append(effects, h.do(PollResult{Order: h.poll.Order, SentAt: h.now, Report: worker.Report{Clock: h.clock, Incarnation: incarnation, Running: running}})...)
+		h.after(time.Millisecond)
+	}
+	return effects
+}
+
+// submitDurableTask submits a durable job and reports whether its task starts within 100 ms.
+func (h *durableHolder) submitDurableTask(id string) bool {
+	work := oneTask(id, 10000)
+	work.BestEffort = false
+	effects := h.do(Submit{Work: work, Policy: directPolicy, Durable: true})
+	for range 2 {
+		if h.started(effects, id) {
+			return true
+		}
+		h.after(50 * time.Millisecond)
+		effects = h.do(Tick{})
+	}
+	return false
+}
+
+func (h *durableHolder) started(effects []Effect, id string) bool {
+	_, ok := find(effects, func(s StartRun) bool { return s.Order.Task == id+".0.0.0" })
+	return ok
+}
+
+// Guards against a restarted worker without durable tasks for good, and against one that gets them on evidence from before the
+// restart was seen, when another holder may have read the earlier incarnation.
+func TestRestartedWorkerNeedsLaterEvidence(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 1)
+	is.True(h.submitDurableTask("00000000000000aa"))
+	h.after(100 * time.Millisecond)
+	h.answer(2, nil)
+	is.True(h.workers["w1"].synced)
+	is.True(!h.submitDurableTask("00000000000000bb"))
+	h.confirm(h.now.Sub(h.workers["w1"].incarnationAt) + time.Millisecond)
+	is.True(!h.started(h.do(Tick{}), "00000000000000bb"))
+	h.after(10 * time.Millisecond)
+	h.confirm(0)
+	is.True(h.started(h.do(Tick{}), "00000000000000bb"))
+	h.after(10 * time.Millisecond)
+	h.answer(3, nil) // again
+	is.True(!h.submitDurableTask("00000000000000cc"))
+}
+
+// Guards against durable tasks on a worker that has restarted before its first response to this holder, but perhaps after the next
+// one had read it: the holder's list has the earlier incarnation.
+func TestWorkerRestartsBeforeFirstContact(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 2)
+	is.True(h.workers["w1"].synced)
+	is.True(!h.submitDurableTask("00000000000000aa"))
+	h.confirm(0)
+	is.True(h.started(h.do(Tick{}), "00000000000000aa"))
+}
+
+// Guards against durable tasks on a worker that the holder first lists during its tenure, here under the id of another one: the next
+// holder may have read its list before.
+func TestNewWorkerNeedsLaterEvidence(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 1)
+	h.after(10 * time.Millisecond)
+	h.entry.Address, h.entry.Incarnation = "w1:2", 2
+	h.do(WorkerList{Workers: []worker.Worker{h.entry}})
+	h.answer(2, nil)
+	is.True(h.workers["w1"].synced)
+	is.True(!h.submitDurableTask("00000000000000aa"))
+	h.confirm(0)
+	is.True(h.started(h.do(Tick{}), "00000000000000aa"))
+}
+
+// Guards against a durable task whose lease a lost holder renews on a worker that has restarted: an earlier holder started it
+// there, and the next one had read the worker before.
+func TestRestartedWorkerKeepsLeaseOfEarlierHolder(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 1)
+	work := oneTask("00000000000000aa", 10000)
+	work.BestEffort = false
+	running := []worker.ActiveRun{{Run: worker.Run{Task: "00000000000000aa.0.0.0", Number: 7}}}
+	h.do(PollResult{Order: h.poll.Order, SentAt: h.now, Report: worker.Report{Clock: h.clock, Incarnation: 2}})
+	h.do(PollResult{Order: h.poll.Order, SentAt: h.now, Report: worker.Report{Clock: h.clock, Incarnation: 2, Running: running}})
+	h.do(Submit{Work: work, Policy: directPolicy, Durable: true, Resumed: true})
+	is.True(h.workers["w1"].runs["00000000000000aa.0.0.0"] != nil)
+	h.after(100 * time.Millisecond)
+	h.answer(2, running)
+	is.True(h.poll.Order.Lease <= h.clock)
+	h.confirm(0)
+	h.after(100 * time.Millisecond)
+	h.answer(2, running)
+	is.True(h.poll.Order.Lease > h.clock+500*time.Millisecond)
+}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -15,6 +15,8 @@
 	synced          bool          // the worker has responded to a poll under the current fence
 	incarnation     int64         // by its responses, 0 if unknown
 	incarnationAt   time.Time     // when a response showed the incarnation first, or that the one before has ended
+	listedAt        time.Time     // when the list showed the incarnation of its entry first, zero for the first list of this holder
+	seenAt          time.Time     // when a response or the list showed the present incarnation first, zero likewise
 	clock           time.Duration // latest clock reading reported by the worker
 	clockAt         time.Time     // when that reading was received
 	free            worker.Resources
@@ -41,6 +43,9 @@
 		if w != nil && w.Address == entry.Address {
 			wasDraining, changed := w.Draining, entry.Incarnation != w.Incarnation
 			w.Worker, w.removed, w.added = entry, time.Time{}, m.Added[entry.ID]
+			if changed {
+				w.listedAt = s.now
+			}
 			// The entry may be older than the worker's last response, and incarnations are readings of wall clocks, which may be
 			// set back, so only a response shows the present one.
 			if changed && entry.Incarnation != 0 && w.incarnation != 0 && entry.Incarnation != w.incarnation {
@@ -82,6 +87,9 @@
 func (s *Scheduler) addWorker(entry worker.Worker) *workerState {
 	w := newWorkerState(entry)
 	w.leaseExpiry = s.now.Add(max(s.rules.LostHolderTimeout, s.rules.DurableHolderEnd))
+	if s.now.After(s.firstUpdate) {
+		w.listedAt, w.seenAt = s.now, s.now
+	}
 	s.workers[entry.ID] = w
 	return w
 }
@@ -142,17 +150,27 @@
 		return true
 	}
 	if w.incarnation == 0 {
-		w.incarnation, w.incarnationAt = report.Incarnation, s.now
+		s.setIncarnation(w, report.Incarnation)
 		return true
 	}
 	s.workerRestarted(w, report.Incarnation, confirmed)
 	return false
 }
 
+// setIncarnation records the present incarnation of a worker, 0 if it is unknown. Where the list has no incarnations, the one
+// that responds first is taken for the listed one.
+func (s *Scheduler) setIncarnation(w *workerState, born int64) {
+	listed := born == w.Incarnation || w.Incarnation == 0 && w.incarnationAt.IsZero()
+	w.incarnation, w.incarnationAt, w.seenAt = born, s.now, s.now
+	if born != 0 && listed {
+		w.seenAt = w.listedAt
+	}
+}
+
 // workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any. The
 // incarnation is 0 if it is not known yet.
 func (s *Scheduler) workerRestarted(w *workerState, born int64, confirmed *run) {
-	w.incarnation, w.incarnationAt = born, s.now
+	s.setIncarnation(w, born)
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r == confirmed:
