Start best-effort tasks on a restarted worker only with later evidence

Callers saw: nothing traced to it; found by asking whether best-effort jobs have the fault of durable ones.

Cause: they have. The next holder does not wait 1.29 s for a job without a report if it has read all workers, since they reject the orders of the lost holder. One that restarts after that does not, and a message of the job's VM to the lost holder says nothing of what the next one had read by then. A report that names the worker of a run has the same fault: the next holder has read that worker, but the incarnation before. A report that a task has not started is safe: a scheduler that has handed over sends nothing more, and its earlier orders reach no other incarnation.

Change: the rule of durable jobs holds for all jobs on workers that restarted during the tenure. New workers are left to the revision that VMs name. Evidence stays valid once seen, so that the leases of runs go on when there is no newer one.

A cheaper rule for these would name the revision at which an incarnation was listed, as for new workers.

--- a/placement/permit.go
+++ b/placement/permit.go
@@ -89,10 +89,18 @@
 	}
 }
 
-// NeedsDurablePermit reports whether the handling of a message depends on the permit for durable jobs.
+// NeedsDurablePermit reports whether the handling of a message depends on the permit for durable jobs, or on its evidence.
 func (s *Scheduler) NeedsDurablePermit(m Message) bool {
 	submit, ok := m.(Submit)
-	return len(s.durableJobs) > 0 || !s.restored || ok && submit.Durable
+	if len(s.durableJobs) > 0 || !s.restored || ok && submit.Durable {
+		return true
+	}
+	for _, w := range s.sortedWorkers {
+		if w.restarted && !s.durableEvidence.After(w.seenAt) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayStart reports whether the holder may start tasks of a durable job. Its other jobs are withdrawn when their permit
@@ -102,9 +110,10 @@
 	return !js.durable || !limited || s.now.Before(until)
 }
 
-// mayUse reports whether the holder may start tasks of the job on a worker, or renew their leases, see DurablePermit.
+// mayUse reports whether the holder may start tasks of the job on a worker, or renew their leases, see DurablePermit. The VMs of
+// best-effort jobs tell the next holder which new workers it has to read, but not which have restarted.
 func (s *Scheduler) mayUse(js *jobState, w *workerState) bool {
-	return !js.durable || s.evidenceCovers(w)
+	return !js.durable && !w.restarted || s.evidenceCovers(w)
 }
 
 // evidenceCovers reports whether the evidence of the permit for durable jobs is later than the first sight of the worker's present
--- a/placement/tenure_test.go
+++ b/placement/tenure_test.go
@@ -134,3 +134,79 @@
 	h.answer(2, running)
 	is.True(h.poll.Order.Lease > h.clock+500*time.Millisecond)
 }
+
+// jobOnRestartedWorker plays a holder that is replaced without knowing it: the next holder reads w00 and w01, then w00 restarts, and
+// the lost holder, which doesn't use w01, sees that and starts the task of a best-effort job there.
+func jobOnRestartedWorker(t *testing.T) (sg *simGroup, lost updater, j *simJob, key SubmissionKey) {
+	t.Helper()
+	sg = newSimGroup(t, 1, 2)
+	sg.workers["w01"].Labels = []string{"a", "near"} // so that the next holder uses it
+	sg.listed = WorkerList{}
+	sg.step(sg.scheduler, sg.list())
+	sg.run(20 * time.Millisecond)
+	lost = sg.scheduler
+	sg.step(lost, DurablePermit{Until: sg.now.Add(permitOfEvidence), Evidence: sg.now})
+	sg.replaceScheduler()
+	sg.run(220 * time.Millisecond)
+	sg.crash(sg.workers["w00"])
+	list := WorkerList{Workers: []worker.Worker{sg.workers["w00"].Worker, sg.workers["w01"].Worker}}
+	list.Workers[1].Draining = true
+	sg.step(lost, list)
+	sg.run(270 * time.Millisecond)
+	j = &simJob{work: oneTask("00000000000000aa", 40000), policy: directPolicy, sent: sg.now, length: 3 * time.Second}
+	j.work.Steps[0].DataRack = "near"
+	sg.knownJobs[j.work.ID], key = j, SubmissionKey{Conn: 7, Sequence: 1}
+	sg.step(lost, Submit{Key: key, Work: j.work, Policy: j.policy, Budget: 5 * time.Second, PermitUntil: sg.now.Add(750 * time.Millisecond)})
+	sg.run(320 * time.Millisecond)
+	return sg, lost, j, key
+}
+
+// Guards against a second run of a best-effort job's task on a worker that has restarted after the next holder had read it: its
+// new incarnation takes the start of the lost holder, to which the VM of the job has sent messages after the restart.
+func TestRestartedWorkerTakesJobOfLostHolder(t *testing.T) {
+	is := is.New(t)
+	sg, _, j, _ := jobOnRestartedWorker(t)
+	sg.run(780 * time.Millisecond) // its VM has lost the link to the first holder
+	(&history{simGroup: sg}).resubmit(j, Progress{})
+	sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
+	is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
+}
+
+// Guards against a second run of a best-effort job's task that the lost holder has reported as running on the new incarnation of a
+// worker: the next holder takes the earlier one that it has read for that worker.
+func TestReportNamesWorkerThatRestarted(t *testing.T) {
+	is := is.New(t)
+	sg, lost, j, key := jobOnRestartedWorker(t)
+	sg.step(lost, HandOver{})
+	progress := Progress{}
+	switch v := sg.verdicts[key].(type) {
+	case HandedOver:
+		progress = v.Progress
+	case NotRun:
+	default:
+		t.Fatalf("verdict %T", v)
+	}
+	(&history{simGroup: sg}).resubmit(j, progress)
+	sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
+	is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
+}
+
+// Guards against a second run of a task that the lost holder reports as not started: an order that it sent before must not reach
+// the restarted worker.
+func TestReportOfTaskThatIsNotStarted(t *testing.T) {
+	is := is.New(t)
+	sg, lost, j, _ := jobOnRestartedWorker(t)
+	other := &simJob{work: oneTask("00000000000000bb", 40000), policy: directPolicy, sent: sg.now, length: 3 * time.Second}
+	key := SubmissionKey{Conn: 7, Sequence: 2}
+	sg.knownJobs[other.work.ID] = other
+	sg.step(lost, Submit{Key: key, Work: other.work, Policy: other.policy, Budget: 5 * time.Second, PermitUntil: sg.now.Add(750 * time.Millisecond)})
+	sg.run(340 * time.Millisecond) // w00 has no room for it
+	sg.step(lost, HandOver{})
+	_, notRun := sg.verdicts[key].(NotRun)
+	is.True(notRun)
+	sg.crash(sg.workers["w00"]) // which has room again
+	(&history{simGroup: sg}).resubmit(other, Progress{})
+	sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
+	is.Equal(sg.alive[other.work.ID+".0.0.0"], 1)
+	is.Equal(sg.alive[j.work.ID+".0.0.0"], 0)
+}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -17,6 +17,7 @@
 	incarnationAt   time.Time     // when a response showed the incarnation first, or that the one before has ended
 	listedAt        time.Time     // when the list showed the incarnation of its entry first, zero for the first list of this holder
 	seenAt          time.Time     // when a response or the list showed the present incarnation first, zero likewise
+	restarted       bool          // another incarnation was listed or responded to this holder before
 	clock           time.Duration // latest clock reading reported by the worker
 	clockAt         time.Time     // when that reading was received
 	free            worker.Resources
@@ -44,7 +45,7 @@
 			wasDraining, changed := w.Draining, entry.Incarnation != w.Incarnation
 			w.Worker, w.removed, w.added = entry, time.Time{}, m.Added[entry.ID]
 			if changed {
-				w.listedAt = s.now
+				w.listedAt, w.restarted = s.now, true
 			}
 			// The entry may be older than the worker's last response, and incarnations are readings of wall clocks, which may be
 			// set back, so only a response shows the present one.
@@ -165,6 +166,7 @@
 	if born != 0 && listed {
 		w.seenAt = w.listedAt
 	}
+	w.restarted = w.restarted || !listed
 }
 
 // workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any. The
