--- a/placement/tenure_test.go
+++ b/placement/tenure_test.go
@@ -114,6 +114,21 @@
 	is.True(h.started(h.do(Tick{}), "00000000000000aa"))
 }
 
+// Guards against best-effort tasks on a worker that has moved to another address in its entry of the list, whose first revision VMs
+// know: the next holder may have read it at the earlier address.
+func TestMovedWorkerNeedsLaterEvidence(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 1)
+	h.after(10 * time.Millisecond)
+	h.entry.Address, h.entry.Incarnation = "w1:2", 2
+	h.do(WorkerList{Workers: []worker.Worker{h.entry}})
+	h.answer(2, nil)
+	is.True(h.workers["w1"].synced)
+	is.True(!h.started(h.submit(0, "00000000000000aa", 10000), "00000000000000aa"))
+	h.confirm(0)
+	is.True(h.started(h.do(Tick{}), "00000000000000aa"))
+}
+
 // Guards against a durable task whose lease a lost holder renews on a worker that has restarted: an earlier holder started it
 // there, and the next one had read the worker before.
 func TestRestartedWorkerKeepsLeaseOfEarlierHolder(t *testing.T) {
