Simulate restarts in series, resets, stalled workers and durable jobs

Callers saw: nothing.

Change: eight more themes of bursts: restarts of all VMs in turn, kills of many VMs at once, stalls in series of VMs and workers, resets and narrowed links, a store that restarts with its history and entries gone, workers that are replaced or slow, wall clocks that step. Half of the histories have two or three zones of other sizes and up to three groups, some have eight VMs a zone. Half of them have durable jobs, also lasting and cancelled ones, and check that no task starts after an acknowledged end. -sim-theme plays one theme only.

A process that has died no longer waits for ever for a call of the store that it made without a deadline, which was a fault of the model.

--- a/gateway/sim_caller_test.go
+++ b/gateway/sim_caller_test.go
@@ -19,6 +19,8 @@
 	started bool
 	refused bool // by its only attempt
 	done    map[[2]int]bool
+
+	durable bool
 }
 
 // newJob returns a job of a random size.
@@ -41,6 +43,13 @@
 		}
 		j.work.Steps = append(j.work.Steps, step)
 	}
+	if j.durable = s.chance(s.durableShare); j.durable {
+		j.work.BestEffort = false
+		if s.chance(0.1) {
+			j.work.Steps[0].Lasting, j.work.Steps[0].MaxDisrupted, j.work.Steps[0].Need.MilliCores = true, 1, 4000
+			j.work.Steps, j.lengths = j.work.Steps[:1], []time.Duration{time.Hour}
+		}
+	}
 	s.jobs[id] = j
 	return j
 }
@@ -65,6 +74,17 @@
 			}
 			s.mu.Unlock()
 			return
+		case Accepted:
+			again, cancelled := s.chance(0.1), s.chance(0.1)
+			s.mu.Unlock()
+			if cancelled {
+				s.cancelJob(j)
+				return
+			}
+			if !again {
+				return
+			}
+			s.mu.Lock()
 		case Refused:
 			if j.refused = attempt == 1; j.refused && j.started {
 				s.brokenJob = j.work.ID
@@ -119,7 +139,11 @@
 			p.awake()
 			cancelOfVM()
 		})()
-		reply := p.gateway.Submit(ctxOfVM, Submission{Work: j.work, Policy: j.policy, Budget: budget})
+		submit := p.gateway.Submit
+		if j.durable {
+			submit = p.gateway.SubmitDurable
+		}
+		reply := submit(ctxOfVM, Submission{Work: j.work, Policy: j.policy, Budget: budget})
 		if p.awake() {
 			time.Sleep(way)
 			replies <- reply
@@ -136,3 +160,28 @@
 	}
 	return nil
 }
+
+// cancelJob cancels a durable job a little later.
+func (s *simulation) cancelJob(j *simJob) {
+	s.mu.Lock()
+	wait := s.between(0, 2*time.Second)
+	s.mu.Unlock()
+	time.Sleep(wait)
+	s.mu.Lock()
+	vms := s.running("")
+	if len(vms) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	p := vms[s.rand.IntN(len(vms))].process
+	s.mu.Unlock()
+	if !p.awake() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.gateway.ctx, 2*time.Second)
+	defer cancel()
+	state, err := p.gateway.CancelDurable(ctx, j.work.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log("job %s is cancelled at %s: %s, %v", j.work.ID, p.machine.name, state, err)
+}
--- a/gateway/sim_fault_test.go
+++ b/gateway/sim_fault_test.go
@@ -81,6 +81,101 @@
 	{"crash of a worker", 3, func(s *simulation, r *rand.Rand, _ *simMachine) {
 		s.crashWorker(s.workers[r.IntN(len(s.workers))], r.IntN(3) > 0, span(r, 10*time.Millisecond, 600*time.Millisecond))
 	}},
+	{"series of stalls", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		at := time.Duration(0)
+		for range 3 + r.IntN(4) {
+			d := span(r, 50*time.Millisecond, 900*time.Millisecond)
+			s.after(at, func() { s.stall(m, d) })
+			at += d + span(r, 5*time.Millisecond, 400*time.Millisecond)
+		}
+	}},
+	{"long suspension", 1, func(s *simulation, r *rand.Rand, m *simMachine) {
+		s.stall(m, span(r, 2500*time.Millisecond, 5*time.Second))
+	}},
+	{"kill of several VMs", 1, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		power := r.IntN(3) == 0
+		for _, m := range s.machines {
+			if r.IntN(5) > 1 {
+				s.halt(m, power, span(r, 50*time.Millisecond, 1500*time.Millisecond))
+			}
+		}
+	}},
+	{"rolling restart", 2, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		at, gap := time.Duration(0), span(r, 150*time.Millisecond, 1200*time.Millisecond)
+		for _, i := range r.Perm(len(s.machines)) {
+			m, restart := s.machines[i], span(r, 50*time.Millisecond, 800*time.Millisecond)
+			s.after(at, func() { s.stopPlanned(m, restart) })
+			at += span(r, gap/2, gap)
+		}
+	}},
+	{"reset connections", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		s.reset(m, r.IntN(2) == 0)
+	}},
+	{"narrow link", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		m.narrowRate, m.narrowUntil = float64(10_000+r.IntN(90_000)), time.Now().Add(span(r, 300*time.Millisecond, 3*time.Second))
+		s.log("the link of %s is narrowed to %.0f bytes a second for %v", m.name, m.narrowRate, time.Until(m.narrowUntil))
+	}},
+	{"stall of workers", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		for _, w := range s.workers {
+			if w.Zone == m.zone && r.IntN(2) == 0 {
+				s.stallWorker(w, span(r, 50*time.Millisecond, 5*time.Second))
+			}
+		}
+	}},
+	{"series of stalls of a worker", 2, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		w, at := s.workers[r.IntN(len(s.workers))], time.Duration(0)
+		for range 3 + r.IntN(4) {
+			d := span(r, 50*time.Millisecond, 1200*time.Millisecond)
+			s.after(at, func() { s.stallWorker(w, d) })
+			at += d + span(r, 5*time.Millisecond, 400*time.Millisecond)
+		}
+	}},
+	{"store restarts", 2, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		d := span(r, 300*time.Millisecond, 4*time.Second)
+		for _, m := range s.machines {
+			s.failStore(m, []simStoreFault{storeSilent, storeRefuses}[r.IntN(2)], d)
+		}
+		s.after(d, func() { s.store.compacted = s.store.revision })
+		for _, w := range s.workers {
+			if back := span(r, 10*time.Millisecond, maxUnlisted); r.IntN(2) == 0 {
+				s.after(d-time.Millisecond, func() { s.unlist(w, back) })
+			}
+		}
+	}},
+	{"worker is replaced", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		for _, w := range s.workers {
+			if w.Zone == m.zone && r.IntN(4) == 0 {
+				s.replaceWorker(w, span(r, 100*time.Millisecond, 2*time.Second), span(r, 0, time.Second))
+			}
+		}
+	}},
+	{"worker restarts with another wall clock", 2, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		w := s.workers[r.IntN(len(s.workers))]
+		w.clockStep = span(r, -5*time.Second, 5*time.Second)
+		s.crashWorker(w, true, span(r, 10*time.Millisecond, 600*time.Millisecond))
+	}},
+	{"VM restarts with another wall clock", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		m.clockStep = span(r, -5*time.Second, 5*time.Second)
+		s.halt(m, r.IntN(2) == 0, span(r, 50*time.Millisecond, 1500*time.Millisecond))
+	}},
+	{"slow workers", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		factor, until := 2+8*r.Float64(), time.Now().Add(span(r, 500*time.Millisecond, 3*time.Second))
+		for _, w := range s.workers {
+			if w.Zone == m.zone && r.IntN(4) == 0 {
+				w.slowness, w.slowUntil = factor, until
+				s.log("%s is %.1f times as slow for %v", w.ID, factor, time.Until(until))
+			}
+		}
+	}},
+	{"unhealthy workers", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		until := time.Now().Add(span(r, 300*time.Millisecond, 3*time.Second))
+		for _, w := range s.workers {
+			if w.Zone == m.zone && r.IntN(4) == 0 {
+				w.unhealthyUntil = until
+				s.log("%s rejects some starts for %v", w.ID, time.Until(until))
+			}
+		}
+	}},
 	{"worker entries vanish", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
 		for _, w := range s.workers {
 			if w.Zone == m.zone && r.IntN(3) == 0 {
@@ -198,22 +293,97 @@
 	})
 }
 
-// simThemes are the kinds of bursts; each names the faults that it consists of, or any if it is empty.
-var simThemes = [][]string{
-	nil,
-	nil,
-	{"stall", "stall of several VMs", "suspension", "loss of power", "kill", "planned stop", "cut from all VMs", "cut from some VMs"},
-	{"loss of power", "kill", "planned stop"},
-	{"cut from workers", "lost and late orders", "crash of a worker", "worker entries vanish", "planned stop", "stall"},
-	{"store fault", "store fault for a VM", "suspension", "loss of power", "cut from some VMs"},
+// reset resets all connections between a VM and other VMs; bytes on their way may be lost.
+func (s *simulation) reset(m *simMachine, lose bool) {
+	p, now := m.process, time.Now()
+	if p == nil || p.dead {
+		return
+	}
+	s.log("the connections of %s are reset", m.name)
+	for c := range p.conns {
+		for _, stream := range []*simStream{c.in, c.out} {
+			if lose {
+				stream.chunks = nil
+			}
+			stream.end(now, errSimReset)
+		}
+	}
+}
+
+// stallWorker lets a worker handle no order and send no response for some time. Its runs and its lease end in time, as the
+// platform says. Its entry vanishes after simListTimeout.
+func (s *simulation) stallWorker(w *simWorker, d time.Duration) {
+	w.stalledUntil = later(w.stalledUntil, time.Now().Add(d))
+	s.log("%s is stalled for %v", w.ID, time.Until(w.stalledUntil))
+	if life := w.life; d > simListTimeout {
+		s.after(simListTimeout, func() {
+			if w.life == life {
+				s.unlist(w, time.Until(w.stalledUntil)+s.between(0, 300*time.Millisecond))
+			}
+		})
+	}
+}
+
+// simListTimeout is the time of silence after which the platform removes the entry of a worker.
+const simListTimeout = 1500 * time.Millisecond
+
+// replaceWorker lets a worker drain and leave, and adds another one.
+func (s *simulation) replaceWorker(w *simWorker, drain, next time.Duration) {
+	if w.down || w.Draining {
+		return
+	}
+	s.log("%s drains for %v", w.ID, drain)
+	w.Draining = true
+	w.publish()
+	life := w.life
+	s.after(drain, func() {
+		if w.life != life {
+			return
+		}
+		s.log("%s leaves", w.ID)
+		w.crash()
+		s.store.put(w.key(), nil)
+	})
+	s.after(next, func() {
+		added := &simWorker{sim: s, Worker: w.Worker}
+		added.ID += "r"
+		added.Address = added.ID + ":1"
+		s.log("%s joins", added.ID)
+		added.start()
+		added.publish()
+		s.workers = append(s.workers, added)
+	})
+}
+
+// simTheme is a kind of burst; it names the faults that it consists of, or any if it is empty.
+type simTheme struct {
+	name   string
+	faults []string
+}
+
+var simThemes = []simTheme{
+	{"any", nil},
+	{"any again", nil},
+	{"VMs and links", []string{"stall", "stall of several VMs", "suspension", "loss of power", "kill", "planned stop", "cut from all VMs", "cut from some VMs"}},
+	{"stops", []string{"loss of power", "kill", "planned stop"}},
+	{"workers", []string{"cut from workers", "lost and late orders", "crash of a worker", "worker entries vanish", "planned stop", "stall"}},
+	{"store", []string{"store fault", "store fault for a VM", "suspension", "loss of power", "cut from some VMs"}},
+	{"rolling restart", []string{"rolling restart", "planned stop", "reset connections", "cut from some VMs", "stall", "lost and late orders"}},
+	{"mass kill", []string{"kill of several VMs", "kill", "store fault", "lost and late orders", "crash of a worker", "stall of several VMs"}},
+	{"stalls in series", []string{"series of stalls", "series of stalls of a worker", "stall of workers", "long suspension", "planned stop", "reset connections"}},
+	{"links", []string{"narrow link", "reset connections", "cut from some VMs", "cut from all VMs", "cut from workers", "planned stop", "stall"}},
+	{"store restart", []string{"store restarts", "worker is replaced", "worker entries vanish", "kill", "planned stop", "lost and late orders"}},
+	{"slow workers", []string{"slow workers", "unhealthy workers", "planned stop", "kill", "lost and late orders", "cut from workers", "stall", "reset connections"}},
+	{"clocks", []string{"VM restarts with another wall clock", "worker restarts with another wall clock", "planned stop", "store fault", "cut from some VMs"}},
+	{"worker list", []string{"worker is replaced", "worker restarts with another wall clock", "crash of a worker", "stall of workers", "planned stop", "store fault for a VM", "lost and late orders"}},
 }
 
 // pickFault returns a fault of a theme.
-func pickFault(r *rand.Rand, theme []string) simFault {
+func pickFault(r *rand.Rand, faults []string) simFault {
 	var list []simFault
 	total := 0
 	for _, f := range simFaults {
-		if len(theme) == 0 || slices.Contains(theme, f.name) {
+		if len(faults) == 0 || slices.Contains(faults, f.name) {
 			list, total = append(list, f), total+f.weight
 		}
 	}
@@ -231,11 +401,15 @@
 	plan := rand.New(rand.NewPCG(seed, 11))
 	for range 3 + plan.IntN(3) {
 		at := span(plan, from, until)
-		zone := []string{"a", "b"}[plan.IntN(2)]
-		group := groupName(zone, plan.IntN(2))
+		zone := s.zones[plan.IntN(len(s.zones))]
+		group := groupName(zone, plan.IntN(s.groups))
 		theme := simThemes[plan.IntN(len(simThemes))]
+		if i := slices.IndexFunc(simThemes, func(t simTheme) bool { return t.name == *simThemeName }); i >= 0 {
+			theme = simThemes[i]
+		}
+		s.log("theme %q from %v", theme.name, at)
 		for range 2 + plan.IntN(5) {
-			fault := pickFault(plan, theme)
+			fault := pickFault(plan, theme.faults)
 			r := rand.New(rand.NewPCG(seed, plan.Uint64()))
 			s.after(at, func() {
 				m := s.holderOf(group)
--- a/gateway/sim_fleet_test.go
+++ b/gateway/sim_fleet_test.go
@@ -44,6 +44,12 @@
 	jobs      map[string]*simJob
 	alive     map[string][]*simRun // by task
 	ending    bool                 // no faults any more
+	zones     []string
+	groups    int // of a zone
+
+	durableShare float64                // share of durable jobs
+	doneRuns     map[string][]*simEnded // of durable jobs, by task
+
 	trace     []simTraceLine
 	broken    []string
 	brokenJob string
@@ -62,6 +68,10 @@
 	settings Settings
 	process  *simProcess
 	powerOff bool
+
+	clockStep   time.Duration // of its wall clock at the next start
+	narrowRate  float64       // bytes per second of its link until narrowUntil, whatever its settings say
+	narrowUntil time.Time
 }
 
 // simProcess is one incarnation of a VM's process.
@@ -104,19 +114,30 @@
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	s := &simulation{
 		t: t, begin: time.Now(), rand: rand.New(rand.NewPCG(seed, 7)), listeners: map[string]*simListener{}, cuts: map[[2]string]time.Time{},
-		jobs: map[string]*simJob{}, alive: map[string][]*simRun{}, counts: map[string]int{},
+		jobs: map[string]*simJob{}, alive: map[string][]*simRun{}, doneRuns: map[string][]*simEnded{}, counts: map[string]int{},
 	}
 	s.store = newSimStore(s)
 	s.store.put(simDecoder{}.ConfigurationKey(), []byte("{}"))
 	narrow := s.chance(0.3)
-	groups := 1 + s.rand.IntN(2)
-	for _, zone := range []string{"a", "b"} {
+	if rand.New(rand.NewPCG(seed, 13)).IntN(2) == 0 {
+		s.durableShare = 0.4
+	}
+	size := rand.New(rand.NewPCG(seed, 17))
+	zones, vms, workers, groups := 2, 3, 6, 1+s.rand.IntN(2)
+	if size.IntN(2) == 0 {
+		zones, vms, workers, groups = 2+size.IntN(2), 2+size.IntN(3), 4+size.IntN(6), 1+size.IntN(3)
+	}
+	if size.IntN(12) == 0 {
+		vms = twoWatcherZoneSize
+	}
+	s.zones, s.groups = []string{"a", "b", "c"}[:zones], groups
+	for _, zone := range s.zones {
 		value, err := json.Marshal(zonePartition{Groups: groups})
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.store.put(partitionPrefix+zone, value)
-		for i := range 3 {
+		for i := range vms {
 			name := fmt.Sprintf("%s%d", zone, i)
 			m := &simMachine{name: name, zone: zone, settings: Settings{
 				VM: name, Zone: zone, CallerAddress: name + ":callers", ReadyAddress: name + ":ready", PeerAddress: name + ":peers",
@@ -127,7 +148,7 @@
 			}
 			s.machines = append(s.machines, m)
 		}
-		for i := range 6 {
+		for i := range workers {
 			id := fmt.Sprintf("w%s%d", zone, i)
 			w := &simWorker{sim: s, Worker: worker.Worker{
 				ID: id, Service: "cue", Address: id + ":1", Zone: zone, Rack: "r", Labels: []string{"x", "r"}, Capacity: worker.Resources{MilliCores: 64000 + 32000*(i%2), MemoryMiB: 1 << 18},
@@ -233,6 +254,7 @@
 			NewHandler: func(*Gateway) fasthttp.RequestHandler { return func(*fasthttp.RequestCtx) {} },
 			Log:        zerolog.New(p), Clock: clock, Listen: p.listen, Dial: p.dial,
 		})
+		p.gateway.self.Incarnation += m.clockStep.Nanoseconds()
 		err := p.gateway.Run(ctx)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -269,10 +291,14 @@
 
 // sendAt returns when bytes that are sent now have left the VM's link.
 func (p *simProcess) sendAt(now time.Time, bytes int) time.Time {
-	if p.machine.settings.LinkBytesPerSecond == 0 {
-		return now
+	rate := p.machine.settings.LinkBytesPerSecond
+	if now.Before(p.machine.narrowUntil) {
+		rate = p.machine.narrowRate
+	}
+	if rate == 0 {
+		return later(p.drainedAt, now)
 	}
-	p.drainedAt = later(p.drainedAt, now).Add(time.Duration(float64(bytes+100) / p.machine.settings.LinkBytesPerSecond * float64(time.Second)))
+	p.drainedAt = later(p.drainedAt, now).Add(time.Duration(float64(bytes+100) / rate * float64(time.Second)))
 	return p.drainedAt
 }
 
@@ -325,6 +351,10 @@
 		s.brokenJob = id
 		s.fail("task %s of a refused job runs on %s", r.Task, r.worker.ID)
 	}
+	for _, e := range s.doneRuns[r.Task] {
+		e.startedAgain = true
+		s.checkDone(e)
+	}
 	j.started = true
 	s.alive[r.Task] = append(s.alive[r.Task], r)
 }
@@ -337,3 +367,19 @@
 	}
 	s.log("%s ends %s run %d: %s", r.worker.ID, r.Task, r.Number, how)
 }
+
+// simEnded is a run of a durable job that has ended done.
+type simEnded struct {
+	run          *simRun
+	at           time.Time
+	acknowledged bool
+	startedAgain bool
+}
+
+// checkDone reports a task that starts after an end that is taken note of then or later.
+func (s *simulation) checkDone(e *simEnded) {
+	if e.acknowledged && e.startedAgain {
+		s.brokenJob, _, _, _ = job.ParseTaskName(e.run.Task)
+		s.fail("task %s starts again after its end of run %d on %s at %v, which is acknowledged", e.run.Task, e.run.Number, e.run.worker.ID, e.at.Sub(s.begin).Round(100*time.Microsecond))
+	}
+}
--- a/gateway/sim_store_test.go
+++ b/gateway/sim_store_test.go
@@ -29,12 +29,13 @@
 
 // simStore is the platform's store. The lock of the simulation protects it.
 type simStore struct {
-	sim      *simulation
-	items    map[string]store.KeyValue
-	events   []store.Event
-	revision int64
-	changed  chan struct{}
-	faults   map[string]simStoreFaultPeriod // by VM
+	sim       *simulation
+	items     map[string]store.KeyValue
+	events    []store.Event
+	revision  int64
+	compacted int64 // history up to this revision is discarded
+	changed   chan struct{}
+	faults    map[string]simStoreFaultPeriod // by VM
 }
 
 type simStoreFaultPeriod struct {
@@ -53,6 +54,9 @@
 }
 
 func (st *simStore) record(e store.Event) {
+	if e.Created = st.items[e.Key].Created; e.Created == 0 {
+		e.Created = e.Revision
+	}
 	st.events = append(st.events, e)
 	if e.Deleted {
 		delete(st.items, e.Key)
@@ -98,8 +102,7 @@
 func (c simKV) call(ctx context.Context, timeout time.Duration, write bool, execute func()) error {
 	s := c.process.sim
 	if !c.process.awake() {
-		<-ctx.Done()
-		return ctx.Err()
+		return c.await(ctx, nil, timeout)
 	}
 	s.mu.Lock()
 	fault := s.store.faultOf(c.process.machine.name)
@@ -202,8 +205,9 @@
 	for {
 		var result store.WatchResult
 		var changed <-chan struct{}
+		var compacted bool
 		err := c.call(ctx, time.Until(end)+simWatchGrace, false, func() {
-			result.Revision, changed = max(st.revision, after), st.changed
+			result.Revision, changed, compacted = max(st.revision, after), st.changed, after < st.compacted
 			for i := len(st.events) - 1; i >= 0 && st.events[i].Revision > after; i-- {
 				if strings.HasPrefix(st.events[i].Key, prefix) {
 					result.Events = append(result.Events, st.events[i])
@@ -214,6 +218,9 @@
 		if err != nil {
 			return store.WatchResult{}, err
 		}
+		if compacted {
+			return store.WatchResult{}, store.ErrCompacted
+		}
 		if len(result.Events) > 0 || !time.Now().Before(end) {
 			return result, nil
 		}
--- a/gateway/sim_test.go
+++ b/gateway/sim_test.go
@@ -13,9 +13,10 @@
 )
 
 var (
-	simSeed  = flag.Uint64("sim-seed", 1, "first seed of TestTwoRunsOfOneTask")
-	simSeeds = flag.Int("sim-seeds", 12, "number of histories of TestTwoRunsOfOneTask")
-	simTrace = flag.String("sim-trace", "", "file for the trace of the last history of TestTwoRunsOfOneTask")
+	simSeed      = flag.Uint64("sim-seed", 1, "first seed of TestTwoRunsOfOneTask")
+	simSeeds     = flag.Int("sim-seeds", 12, "number of histories of TestTwoRunsOfOneTask")
+	simThemeName = flag.String("sim-theme", "", "theme of all bursts of TestTwoRunsOfOneTask, mixed ones if empty")
+	simTrace     = flag.String("sim-trace", "", "file for the trace of the last history of TestTwoRunsOfOneTask")
 )
 
 // Guards against two runs of one task at a time, whichever VMs, workers, links and calls of the store fail in a burst, and
@@ -49,7 +50,7 @@
 	s.mu.Unlock()
 	for time.Since(s.begin) < simLoad {
 		s.mu.Lock()
-		j := s.newJob([]string{"a", "b"}[s.rand.IntN(2)])
+		j := s.newJob(s.zones[s.rand.IntN(len(s.zones))])
 		wait := time.Duration(s.rand.ExpFloat64() * float64(interval))
 		s.mu.Unlock()
 		callers.Go(func() error {
@@ -93,7 +94,7 @@
 		return
 	}
 	for _, l := range s.trace {
-		if strings.Contains(l.text, s.brokenJob) || strings.Contains(l.text, "fault ") {
+		if strings.Contains(l.text, s.brokenJob) || strings.Contains(l.text, "fault ") || strings.Contains(l.text, "theme ") {
 			s.t.Logf("%9.4f %s", l.at.Seconds(), l.text)
 		}
 	}
--- a/gateway/sim_worker_test.go
+++ b/gateway/sim_worker_test.go
@@ -42,9 +42,17 @@
 	runs      map[string]*simRun
 	highest   map[string]int
 	ended     []worker.EndedRun
+	unacked   map[int64]*simEnded // ends done of durable jobs by sequence
 	sequence  int64
 	waiting   []func() // polls that wait for an end
 	faultyTil time.Time
+
+	stalledUntil time.Time     // it handles no order before
+	clockStep    time.Duration // of its wall clock at its last start
+
+	slowness       float64 // of runs that start before slowUntil
+	slowUntil      time.Time
+	unhealthyUntil time.Time // it rejects half of the starts
 }
 
 func (w *simWorker) key() string { return simDecoder{}.WorkerPrefix() + w.ID }
@@ -54,11 +62,12 @@
 	w.life++
 	w.down = false
 	w.bornAt = time.Now()
-	w.Incarnation = w.bornAt.UnixMilli()
+	w.Incarnation = w.bornAt.Add(w.clockStep).UnixMilli()
+	w.Draining = false
 	w.offset = w.sim.between(time.Second, time.Hour)
 	w.rate = 1 - 0.02*w.sim.rand.Float64()
 	w.fence, w.lease, w.sequence, w.ended, w.waiting = 0, 0, 0, nil, nil
-	w.runs, w.highest = map[string]*simRun{}, map[string]int{}
+	w.runs, w.highest, w.unacked = map[string]*simRun{}, map[string]int{}, map[int64]*simEnded{}
 }
 
 // crash ends all runs at once.
@@ -108,6 +117,7 @@
 		for _, r := range w.runs {
 			w.kill(r, worker.LeaseExpired)
 		}
+		clear(w.unacked) // an end does not count if the lease expires before its acknowledgement
 	})
 }
 
@@ -129,6 +139,11 @@
 	w.highest[r.Task] = max(w.highest[r.Task], r.Number)
 	w.sequence++
 	w.ended = append(w.ended, worker.EndedRun{Sequence: w.sequence, Run: r.Run, Outcome: outcome})
+	if id, _, _, _ := job.ParseTaskName(r.Task); outcome == worker.Done && w.sim.jobs[id].durable && w.clock() < w.lease {
+		e := &simEnded{run: r, at: time.Now()}
+		w.unacked[w.sequence] = e
+		w.sim.doneRuns[r.Task] = append(w.sim.doneRuns[r.Task], e)
+	}
 	waiting := w.waiting
 	w.waiting = nil
 	for _, reply := range waiting {
@@ -166,6 +181,9 @@
 		w.sim.fail("task %s was never asked for", o.Task)
 		return w.reject(worker.ReasonMalformed)
 	}
+	if time.Now().Before(w.unhealthyUntil) && w.sim.chance(0.5) {
+		return w.reject(worker.ReasonUnhealthy)
+	}
 	need, free := j.work.Steps[step].Need, w.Capacity
 	for _, r := range w.runs {
 		free = free.Sub(r.need)
@@ -177,7 +195,13 @@
 		Run: o.Run, worker: w, life: w.life, need: need, startedAt: time.Now(), sender: sender,
 		length: time.Duration(float64(j.lengths[step]) * (0.8 + 0.4*w.sim.rand.Float64())),
 	}
+	if time.Now().Before(w.slowUntil) {
+		r.length = time.Duration(float64(r.length) * w.slowness)
+	}
 	outcome := worker.Done
+	if j.work.Steps[step].Lasting && w.sim.chance(0.3) {
+		r.length, outcome = w.sim.between(0, time.Second), worker.Failed
+	}
 	if w.sim.chance(0.02) {
 		outcome = worker.Failed
 	}
@@ -205,6 +229,10 @@
 	}
 	w.extendLease(o.Lease)
 	for len(w.ended) > 0 && w.ended[0].Sequence <= o.AckedThrough {
+		if e := w.unacked[w.ended[0].Sequence]; e != nil {
+			e.acknowledged = true
+			w.sim.checkDone(e)
+		}
 		w.ended = w.ended[1:]
 	}
 	life, replied := w.life, false
@@ -343,13 +371,18 @@
 			lateResponse = s.between(0, timeout)
 		}
 	}
-	s.after(delay, func() {
+	var arrive func()
+	arrive = func() {
 		w := s.workerAt(to.Address)
 		if w.down {
 			return
 		}
+		if stall := time.Until(w.stalledUntil); stall > 0 {
+			s.after(stall+s.between(0, 5*time.Millisecond), arrive)
+			return
+		}
 		respond := func(report worker.Report, err error) {
-			back := lateResponse + s.latency(c.process.machine.zone, w.Zone)
+			back := lateResponse + s.latency(c.process.machine.zone, w.Zone) + max(time.Until(w.stalledUntil), 0)
 			if cut := s.cuts[[2]string{w.Address, c.process.machine.name}]; time.Now().Before(cut) {
 				back += time.Until(cut)
 			}
@@ -368,5 +401,6 @@
 			return
 		}
 		handle(w, respond)
-	})
+	}
+	s.after(delay, arrive)
 }
