--- a/gateway/sim_fault_test.go
+++ b/gateway/sim_fault_test.go
@@ -108,6 +108,81 @@
 			at += span(r, gap/2, gap)
 		}
 	}},
+	{"loss of workers and of another VM", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		for _, w := range s.workers {
+			if way := r.IntN(3); w.Zone == m.zone && r.IntN(2) == 0 {
+				s.cut(m.name, w.Address, way, span(r, time.Second, 3*time.Second))
+			}
+		}
+		other, power, restart := s.machines[r.IntN(len(s.machines))], r.IntN(2) == 0, span(r, 100*time.Millisecond, 2*time.Second)
+		s.after(span(r, 0, 900*time.Millisecond), func() { s.halt(other, power, restart) })
+		if d := span(r, 50*time.Millisecond, 490*time.Millisecond); r.IntN(2) == 0 {
+			s.after(span(r, 0, 900*time.Millisecond), func() { s.stall(m, d) })
+		}
+	}},
+	{"reset callers", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		if r.IntN(2) == 0 {
+			s.stall(m, span(r, 50*time.Millisecond, 600*time.Millisecond))
+		}
+		s.after(span(r, 0, 500*time.Millisecond), func() { s.resetCallers(m) })
+	}},
+	{"loss of workers and of callers", 2, func(s *simulation, r *rand.Rand, m *simMachine) {
+		other, d := s.machines[r.IntN(len(s.machines))], span(r, 50*time.Millisecond, 490*time.Millisecond)
+		s.stall(other, d)
+		s.after(span(r, 0, d), func() { s.resetCallers(other) })
+		s.after(d+span(r, -100*time.Millisecond, 50*time.Millisecond), func() {
+			for _, w := range s.workers {
+				if way := r.IntN(3); w.Zone == m.zone && r.IntN(3) > 0 {
+					s.cut(m.name, w.Address, way, span(r, time.Second, 3*time.Second))
+				}
+			}
+		})
+	}},
+	{"silent connections", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		s.silence(m, r.IntN(3))
+	}},
+	{"silent connections of all VMs", 1, func(s *simulation, r *rand.Rand, _ *simMachine) {
+		for _, m := range s.machines {
+			if way := r.IntN(3); r.IntN(3) > 0 {
+				s.silence(m, way)
+			}
+		}
+	}},
+	{"VM is cut off", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
+		s.cutOff(m, span(r, 300*time.Millisecond, 4*time.Second), *simCallersLag)
+	}},
+	{"VM is replaced", 1, func(s *simulation, r *rand.Rand, m *simMachine) {
+		if p := m.process; p != nil && !p.dead && !m.replaced && len(s.machines) < 20 {
+			m.replaced = true
+			s.halt(m, r.IntN(2) == 0, time.Hour)
+			next := &simMachine{name: m.name + "n", zone: m.zone, settings: m.settings}
+			next.settings.VM, next.settings.CallerAddress, next.settings.ReadyAddress = next.name, next.name+":callers", next.name+":ready"
+			next.settings.PeerAddress, next.settings.MetricsAddress = next.name+":peers", next.name+":metrics"
+			s.after(span(r, 0, time.Second), func() {
+				s.machines = append(s.machines, next)
+				s.keepCutOff(next.name)
+				s.start(next)
+			})
+		}
+	}},
+	{"zone halts", 1, func(s *simulation, r *rand.Rand, m *simMachine) {
+		power := r.IntN(2) == 0
+		for _, o := range s.machines {
+			if o.zone == m.zone {
+				s.halt(o, power, span(r, 200*time.Millisecond, 4*time.Second))
+			}
+		}
+	}},
+	{"zone is cut off", 1, func(s *simulation, r *rand.Rand, m *simMachine) {
+		d, way := span(r, 300*time.Millisecond, 4*time.Second), r.IntN(3)
+		for _, a := range s.machines {
+			for _, b := range s.machines {
+				if a.zone == m.zone && b.zone != m.zone {
+					s.cut(a.name, b.name, way, d)
+				}
+			}
+		}
+	}},
 	{"reset connections", 3, func(s *simulation, r *rand.Rand, m *simMachine) {
 		s.reset(m, r.IntN(2) == 0)
 	}},
@@ -252,6 +327,9 @@
 }
 
 func (s *simulation) failStore(m *simMachine, fault simStoreFault, d time.Duration) {
+	if m.process != nil && time.Now().Before(m.process.cutOffUntil) {
+		return
+	}
 	s.log("the store of %s has fault %d for %v", m.name, fault, d)
 	s.store.faults[m.name] = simStoreFaultPeriod{fault, time.Now().Add(d)}
 }
@@ -310,6 +388,60 @@
 	}
 }
 
+// silence lets the open connections of a VM go silent for good, in the first direction (0), the second (1) or both (2); new
+// ones work.
+func (s *simulation) silence(m *simMachine, way int) {
+	p := m.process
+	if p == nil || p.dead {
+		return
+	}
+	s.log("the connections of %s go silent in direction %d", m.name, way)
+	for c := range p.conns {
+		c.in.silent = c.in.silent || way != 1
+		c.out.silent = c.out.silent || way != 0
+	}
+}
+
+// cutOff cuts a VM off from everything. Its callers send their jobs again elsewhere; the VM sees that they have left callersLag
+// after the end of the cut, when their connections repeat it, or at once if that is negative.
+func (s *simulation) cutOff(m *simMachine, d, callersLag time.Duration) {
+	p := m.process
+	if p == nil || p.dead {
+		return
+	}
+	s.log("%s is cut off for %v, its callers for %v more", m.name, d, callersLag)
+	for _, o := range s.machines {
+		s.cut(m.name, o.name, 2, d)
+	}
+	for _, w := range s.workers {
+		s.cut(m.name, w.Address, 2, d)
+	}
+	s.store.faults[m.name] = simStoreFaultPeriod{storeSilent, later(p.cutOffUntil, time.Now().Add(d))}
+	p.cutOffUntil = later(p.cutOffUntil, time.Now().Add(d))
+	if callersLag >= 0 {
+		p.callersCutUntil = later(p.callersCutUntil, time.Now().Add(d+callersLag))
+	}
+	s.resetCallers(m)
+}
+
+// keepCutOff cuts the VMs that are cut off from everything off from a new VM or worker.
+func (s *simulation) keepCutOff(added string) {
+	for _, m := range s.machines {
+		if m.process != nil && time.Now().Before(m.process.cutOffUntil) {
+			s.cut(m.name, added, 2, time.Until(m.process.cutOffUntil))
+		}
+	}
+}
+
+// resetCallers resets the connections of all callers of a VM.
+func (s *simulation) resetCallers(m *simMachine) {
+	if p := m.process; p != nil && !p.dead {
+		s.log("the callers of %s are reset", m.name)
+		close(p.callersReset)
+		p.callersReset = make(chan struct{})
+	}
+}
+
 // stallWorker lets a worker handle no order and send no response for some time. Its runs and its lease end in time, as the
 // platform says. Its entry vanishes after simListTimeout.
 func (s *simulation) stallWorker(w *simWorker, d time.Duration) {
@@ -352,6 +484,7 @@
 		added.start()
 		added.publish()
 		s.workers = append(s.workers, added)
+		s.keepCutOff(added.Address)
 	})
 }
 
@@ -374,6 +507,11 @@
 	{"links", []string{"narrow link", "reset connections", "cut from some VMs", "cut from all VMs", "cut from workers", "planned stop", "stall"}},
 	{"store restart", []string{"store restarts", "worker is replaced", "worker entries vanish", "kill", "planned stop", "lost and late orders"}},
 	{"slow workers", []string{"slow workers", "unhealthy workers", "planned stop", "kill", "lost and late orders", "cut from workers", "stall", "reset connections"}},
+	{"zones", []string{"zone halts", "zone is cut off", "planned stop", "kill", "store fault for a VM", "cut from some VMs", "lost and late orders"}},
+	{"loss of workers and VMs", []string{"loss of workers and of another VM", "stall", "kill", "cut from some VMs", "reset connections"}},
+	{"callers", []string{"reset callers", "loss of workers and of callers", "stall", "series of stalls", "cut from workers", "planned stop", "lost and late orders"}},
+	{"silent connections", []string{"silent connections", "silent connections of all VMs", "planned stop", "reset connections", "stall", "lost and late orders", "kill", "store fault for a VM"}},
+	{"machines", []string{"VM is cut off", "VM is replaced", "kill of several VMs", "suspension", "store fault for a VM", "planned stop", "lost and late orders"}},
 	{"clocks", []string{"VM restarts with another wall clock", "worker restarts with another wall clock", "planned stop", "store fault", "cut from some VMs"}},
 	{"worker list", []string{"worker is replaced", "worker restarts with another wall clock", "crash of a worker", "stall of workers", "planned stop", "store fault for a VM", "lost and late orders"}},
 }
--- a/gateway/sim_network_test.go
+++ b/gateway/sim_network_test.go
@@ -20,6 +20,7 @@
 type simStream struct {
 	from, to *simProcess
 	chunks   []simChunk
+	silent   bool // nothing arrives any more, also no end
 	ended    bool
 	endedAt  time.Time
 	err      error         // after the end; io.EOF or a reset
@@ -86,6 +87,7 @@
 	cut := c.sim.cuts[[2]string{c.in.from.machine.name, c.in.to.machine.name}]
 	var ready time.Time
 	switch {
+	case c.in.silent:
 	case len(c.in.chunks) > 0:
 		ready = later(c.in.chunks[0].at, cut)
 	case c.in.ended:
--- a/gateway/sim_test.go
+++ b/gateway/sim_test.go
@@ -13,10 +13,11 @@
 )
 
 var (
-	simSeed      = flag.Uint64("sim-seed", 1, "first seed of TestTwoRunsOfOneTask")
-	simSeeds     = flag.Int("sim-seeds", 12, "number of histories of TestTwoRunsOfOneTask")
-	simThemeName = flag.String("sim-theme", "", "theme of all bursts of TestTwoRunsOfOneTask, mixed ones if empty")
-	simTrace     = flag.String("sim-trace", "", "file for the trace of the last history of TestTwoRunsOfOneTask")
+	simSeed       = flag.Uint64("sim-seed", 1, "first seed of TestTwoRunsOfOneTask")
+	simSeeds      = flag.Int("sim-seeds", 12, "number of histories of TestTwoRunsOfOneTask")
+	simThemeName  = flag.String("sim-theme", "", "theme of all bursts of TestTwoRunsOfOneTask, mixed ones if empty")
+	simCallersLag = flag.Duration("sim-callers-lag", -1, "time after the end of a cut after which a VM sees that its callers have left, negative if at once")
+	simTrace      = flag.String("sim-trace", "", "file for the trace of the last history of TestTwoRunsOfOneTask")
 )
 
 // Guards against two runs of one task at a time, whichever VMs, workers, links and calls of the store fail in a burst, and
@@ -62,6 +63,11 @@
 	s.mu.Lock()
 	s.ending = true
 	s.mu.Unlock()
+	s.end(&callers)
+}
+
+// end waits for the callers, ends all VMs and reports.
+func (s *simulation) end(callers *errgroup.Group) {
 	_ = callers.Wait() // returns no error
 	s.mu.Lock()
 	for _, m := range s.machines {
@@ -99,3 +105,44 @@
 		}
 	}
 }
+
+// Guards against a VM that was cut off from everything and then acts on jobs whose callers have left meanwhile, before it sees that.
+func TestCutOffVMActsForCallersThatHaveLeft(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, seed)
+				s.durableShare = 0
+				s.playCutOff(2200*time.Millisecond, 300*time.Millisecond)
+			})
+		})
+	}
+}
+
+// playCutOff lets callers send jobs to one VM, which is then cut off.
+func (s *simulation) playCutOff(cut, callersLag time.Duration) {
+	s.mu.Lock()
+	for _, m := range s.machines {
+		s.start(m)
+	}
+	s.mu.Unlock()
+	time.Sleep(simWarmUp)
+	var callers errgroup.Group
+	for range 12 {
+		s.mu.Lock()
+		j := s.newJob("a")
+		j.budget, j.firstVM, j.lengths, j.work.Steps = 6*time.Second, s.machines[0], []time.Duration{3 * time.Second}, j.work.Steps[:1]
+		j.work.Steps[0].Count, j.work.Steps[0].Estimate = 1, 3*time.Second
+		s.mu.Unlock()
+		callers.Go(func() error {
+			s.runCaller(j)
+			return nil
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	s.ending = true // nobody leaves without a cause
+	s.cutOff(s.machines[0], cut, callersLag)
+	s.mu.Unlock()
+	s.end(&callers)
+}
