Renew no lease for a lasting task beside a run that nobody has resumed

Callers saw: nothing so far. A caller whose VM has died may send its job again while a run of it goes on, beyond the 1.3 s.

Cause: until the stored jobs are read, the next holder renews the lease of a worker that runs a lasting task. A lease is for all runs of the worker, so it also prolongs a run whose VM is gone, by up to 0.9 s if the order to stop it is lost.

Change: the holder renews it only if all other orphaned runs of the worker are lasting ones too. The lasting task may lapse if the store is slow just then; holders change only beside an impairment.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -104,14 +104,20 @@
 	return !s.restored && s.longRunningJobs[id]
 }
 
-// mustKeepLease reports whether the lease of a worker is renewed to keep orphaned runs alive.
+// mustKeepLease reports whether the lease of a worker is renewed to keep orphaned runs alive. It is not while the worker has
+// another orphaned run, whose VM may be gone: a lease is for all runs of a worker.
 func (s *Scheduler) mustKeepLease(w *workerState) bool {
+	keep := false
 	for name, f := range s.orphans {
-		if f.worker == w && !f.done && !f.stopping && s.jobStillLoading(name) {
-			return true
+		if f.worker != w || f.done {
+			continue
+		}
+		if f.stopping || !s.jobStillLoading(name) {
+			return false
 		}
+		keep = true
 	}
-	return false
+	return keep
 }
 
 // stopOrphan stops an orphaned run; its task must not start again until the worker no longer lists the run.
