Note the pauses of the VM before a request waits for a disconnect

A VM that has just gone on after a short pause waits 30 ms for the disconnect of a request's caller. A second, longer pause within this wait was counted as one before the request, so the VM would start a job that its caller had sent elsewhere 1.3 s after the silence began: two runs of a task.

The number of pauses is now noted before the wait, so the request gets no verdict.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -111,8 +111,9 @@
 // checkWaited returns a reply for a request that may have waited during a pause for so long that its caller has sent the
 // job elsewhere, nil for others. They are delayed if they may have arrived during a pause, so that the disconnect of the
 // caller is detected first.
-func (g *Gateway) checkWaited(ctx context.Context) Reply {
+func (g *Gateway) checkWaited(ctx context.Context, r *request) Reply {
 	g.checkPause(g.ctx)
+	r.pausesBefore = g.pauseDetector.count() // before the wait, in which the VM may be paused again
 	paused := g.pauseDetector.justEnded()
 	if paused == 0 {
 		return nil
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -142,3 +142,29 @@
 	_, refused := submit(700 * time.Millisecond).(Refused)
 	is.True(refused) // its caller is still waiting, and no group can be reached
 }
+
+// Guards against starting a request whose VM is paused again while it waits for the disconnect of the caller.
+func TestVMPausedAgainStartsWaitingRequest(t *testing.T) {
+	is := is.New(t)
+	var elapsed atomic.Int64 // as a time.Duration
+	start := time.Now()
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
+	g.pauseDetector = newPauseDetector(
+		func() time.Duration { return time.Hour + time.Duration(elapsed.Load()) },
+		func() time.Time { return start.Add(time.Duration(elapsed.Load())) },
+	)
+	g.ctx = t.Context()
+	pauseFor := func(d time.Duration) {
+		elapsed.Add(int64(d))
+		g.checkPause(t.Context())
+	}
+	pauseFor(700 * time.Millisecond)
+	replies := make(chan Reply, 1)
+	g.background(t.Context(), func(ctx context.Context) {
+		replies <- g.Submit(ctx, Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	})
+	time.Sleep(callerDisconnectWait / 3)
+	pauseFor(2 * time.Second)
+	_, undecided := (<-replies).(OutcomeUnknown)
+	is.True(undecided) // not refused by the next group: the job may run elsewhere
+}
