--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -27,6 +27,8 @@
 const (
 	grace    = 6 * time.Second
 	leaseMax = time.Second
+	// lateTimer is the time that the platform allows a worker for the kill of a run.
+	lateTimer = 50 * time.Millisecond
 
 	ready    = "ready"
 	draining = "draining"
@@ -66,6 +68,8 @@
 	states []string           // of the workers as their entries say, ready or draining; empty if there is no entry
 	cuts   map[[2]string]bool // zones between which no bytes pass, from the first to the second
 	fails  []string
+	// lateTimers are the times at which a timer of this process was so late that a worker would break its promise.
+	lateTimers []string
 }
 
 // process is the program on one VM.
@@ -142,6 +146,7 @@
 	}
 	c.configure(1)
 	c.group.Go(c.beat)
+	c.group.Go(c.measureLateness)
 	for i := range config.VMs {
 		g, err := newGate("127.0.0.1:0", storeAddress, nil)
 		if err != nil {
@@ -181,6 +186,20 @@
 	c.states[w] = state
 }
 
+// measureLateness notes how late timers of this process are, by which the workers' runs end when their leases do.
+func (c *cluster) measureLateness() error {
+	const interval = 10 * time.Millisecond
+	for due := time.Now().Add(interval); c.ctx.Err() == nil; due = time.Now().Add(interval) {
+		time.Sleep(time.Until(due))
+		if late := time.Since(due); late > lateTimer {
+			c.mu.Lock()
+			c.lateTimers = append(c.lateTimers, fmt.Sprintf("%s: %v", time.Now().Format(timeFormat), late.Round(time.Millisecond)))
+			c.mu.Unlock()
+		}
+	}
+	return nil
+}
+
 // beat writes the entries of the workers.
 func (c *cluster) beat() error {
 	for sequence := 1; ; sequence++ {
--- a/soak/stall_test.go
+++ b/soak/stall_test.go
@@ -255,6 +255,9 @@
 				if l.served*5 < l.asked {
 					t.Error("so few jobs were served that the run is no evidence")
 				}
+				c.mu.Lock()
+				t.Logf("timers of the workers' process that were over %v late: %q", lateTimer, c.lateTimers)
+				c.mu.Unlock()
 				all, most := c.holderChanges(longestJob)
 				t.Logf("seed %d, %s links: %d of %d jobs served, %v; groups got a holder %d times, one of them %d times within %v",
 					seed, links, l.served, l.asked, l.statuses, all, most, longestJob)
