Keep slots blocked for their former owner's loans after a pause

Callers saw: nothing traced to it; found by reading, in the project's own mode.

Cause: the next owner of an endpoint waits a loan term for the loans of a lost owner. After a pause all owned slots are blocked until the peers answer that they have taken nothing over. This replaced the wait, and a borrower of the lost owner answers so at once, so the wait ended with the answers, 0.6 s after the take-over instead of 1 s.

Change: only slots that did not wait before the pause are used when the peers have answered. The others wait a term from the end of the pause.

Evidence: TestPauseEndsWaitForLoansOfLostOwner failed before: two tasks on the only slot of an endpoint after a pause of 600 ms.

Result: it passes. go test -race ./slot passes.

--- a/slot/handover.go
+++ b/slot/handover.go
@@ -170,7 +170,9 @@
 	l.resumedAt, l.nextResume = t, t
 	for _, n := range l.endpoints {
 		if n.ownedHere {
-			n.blockedUntil, n.blockedByPause = t+l.loanTerm, true
+			// Slots that waited for the tasks of their former owner go on waiting when the peers have answered.
+			n.blockedByPause = n.blockedUntil <= t || n.blockedByPause
+			n.blockedUntil = t + l.loanTerm
 			l.refreshCounts(n)
 		}
 	}
