Ignore releases of endpoints while the peers are asked after a pause

Cause: the release of an endpoint by its earlier owner ends the wait of the next one. It has no time limit: one that waited in the socket of a paused VM was used at once, although the sender had taken the endpoint over again after it had lost the paused VM. The block after a pause ended with it, before the peers had answered.

Change: a release is ignored from a pause until all peers have answered that they have taken nothing over, or for a loan term.

Evidence: TestReleaseFromBeforePauseUnblocksSlots failed before: two tasks on the only slot of an endpoint, after a pause of 1.8 s.

--- a/slot/handover.go
+++ b/slot/handover.go
@@ -127,7 +127,8 @@
 		if n == nil || !n.setPeerUse(p.id, item.Count, m.Sent, t+l.loanTerm) {
 			continue
 		}
-		if item.Release > n.ownerEpoch {
+		// After a pause, a release may be old, and its sender may own the endpoint again; the peers answer whether that is so.
+		if item.Release > n.ownerEpoch && l.resumedAt == 0 {
 			n.ownerEpoch, n.releasedAt = item.Release, t
 			n.blockedUntil, n.blockedByPause = 0, false
 		}
--- a/slot/pause_test.go
+++ b/slot/pause_test.go
@@ -29,3 +29,23 @@
 	z.run(20*time.Millisecond, nil)
 	is.Equal(len(next.held), 1) // the wait has ended
 }
+
+// Guards against two tasks on one slot: a paused VM uses the release of an earlier owner, which has taken the endpoint over
+// again meanwhile.
+func TestReleaseFromBeforePauseUnblocksSlots(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 2, 1, 1, 1)
+	first, paused := z.vms[0], z.vms[1]
+	z.run(1100*time.Millisecond, nil)
+	z.owners = []string{paused.id}
+	z.inform(paused)
+	z.inform(first)
+	paused.queued, paused.paused = 1, true
+	z.run(700*time.Millisecond, nil) // the release waits in the socket of the paused VM
+	z.removeVM(paused)
+	z.run(1100*time.Millisecond, nil)
+	is.Equal(z.demand(first, 1, 10*time.Millisecond), 1)
+	paused.paused = false
+	z.run(900*time.Millisecond, nil) // until it learns that it owns the endpoint no longer
+	is.Equal(z.inUse()[endpointID(0)], 1)
+}
