Count the pauses before a request waits for the disconnect of its caller

Callers saw: nothing traced to it; found by reading.

Cause: a request that may have arrived during a pause waits 30 ms for the disconnect of its caller, and the pauses up to then were counted after the wait. A second pause within it, noticed by the next tick, counted as one before the request, and the verdict used the length of the first one. So a request was submitted with a new permit although its caller may have sent it elsewhere during the second pause. The same held for a pause right before the count, without a first one.

Change: the pauses are counted together with the check.

Evidence: TestPauseWhileWaitingForDisconnectStartsRequest (0.8 s, then 3 s) failed before: the request went on to look for a group.

Result: it passes. go test -race ./gateway passes.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -79,14 +79,14 @@
 	return p.pauses
 }
 
-// justEnded returns the length of a pause that has only just ended, 0 if there is none.
-func (p *pauseDetector) justEnded() time.Duration {
+// justEnded returns the length of a pause that has only just ended, 0 if there is none, and the number of pauses so far.
+func (p *pauseDetector) justEnded() (length time.Duration, pauses int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.pauses == 0 || p.steady().Sub(p.resumedAt) >= resumeWindow {
-		return 0
+		return 0, p.pauses
 	}
-	return p.length
+	return p.length, p.pauses
 }
 
 // checkPause drops all groups after a pause in which other VMs may have claimed them. The VM claims again those that no
@@ -115,21 +115,21 @@
 
 // checkWaited returns a reply for a request that may have waited during a pause for so long that its caller has sent the
 // job elsewhere, nil for others. They are delayed if they may have arrived during a pause, so that the disconnect of the
-// caller is detected first.
-func (g *Gateway) checkWaited(ctx context.Context) Reply {
+// caller is detected first. The number of pauses is that of the check, so that later ones are noticed.
+func (g *Gateway) checkWaited(ctx context.Context) (pauses int, reply Reply) {
 	g.checkPause(g.ctx)
-	paused := g.pauseDetector.justEnded()
+	paused, pauses := g.pauseDetector.justEnded()
 	if paused == 0 {
-		return nil
+		return pauses, nil
 	}
 	pause(ctx, callerDisconnectWait)
 	switch {
 	case ctx.Err() != nil:
-		return CallerGone{}
+		return pauses, CallerGone{}
 	case paused > g.settings.ClientRetryDelay-resendMargin:
-		return OutcomeUnknown{Reason: reasonPaused}
+		return pauses, OutcomeUnknown{Reason: reasonPaused}
 	}
-	return nil
+	return pauses, nil
 }
 
 // reasonPaused is the reason why a request has no verdict after a pause.
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -271,3 +271,22 @@
 	is.True(undecided)
 	is.Equal(holding.jobs.Load(), int64(0))
 }
+
+// Guards against starting a request whose caller has sent it elsewhere during a second pause, which came while the request
+// waited for the disconnect of its caller after the first one.
+func TestPauseWhileWaitingForDisconnectStartsRequest(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
+	var boot atomic.Int64 // as a time.Duration
+	g.pauseDetector = newPauseDetector(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
+	g.ctx = t.Context()
+	boot.Add(int64(800 * time.Millisecond))
+	g.checkPause(t.Context())
+	time.AfterFunc(callerDisconnectWait/3, func() {
+		boot.Add(int64(3 * time.Second))
+		g.checkPause(t.Context()) // as the next tick does
+	})
+	reply := g.Submit(t.Context(), Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	_, undecided := reply.(OutcomeUnknown)
+	is.True(undecided) // not refused: the job was not to be submitted anywhere
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -89,8 +89,7 @@
 	r := &request{Submission: s, arrived: time.Now(), asked: map[string]bool{}, fences: map[string]int64{}}
 	r.deadline = r.arrived.Add(s.Budget - replyMargin)
 	r.lastRefusal = Refused{Reason: "no group of workers can be reached", RetryAfter: time.Second}
-	if a.reply = g.checkWaited(a.ctx); a.reply == nil {
-		r.pausesBefore = g.pauseDetector.count()
+	if r.pausesBefore, a.reply = g.checkWaited(a.ctx); a.reply == nil {
 		a.reply = r.withoutFalseRefusal(g.runToVerdict(a.ctx, r))
 	}
 	g.logReply(r, a.reply)
