Wait for the answers of peers that seem unreachable after a pause

Cause: after a pause a VM uses its slots again once all live peers have answered that they have taken nothing over. Its own clock has timed out all peers by then, so it takes each one for unreachable until that one is heard again, in steps of 50 ms. The answer of the first one was enough, although another one had taken the endpoints over.

Change: the peers that were live before the pause must answer, for at most a loan term.

Evidence: TestResumeWithoutAnswerOfLostPeerUnblocksSlots failed before: two tasks on the only slot of an endpoint. It was not seen on real processes.

Result: it passes. go test -race ./slot passes.

--- a/slot/handover.go
+++ b/slot/handover.go
@@ -163,7 +163,7 @@
 	for _, p := range l.peers {
 		l.removeAllLoans(p)
 		p.openWant, p.unansweredWant, p.outstandingWant, p.recalled = 0, 0, 0, 0
-		p.confirmedClear = false
+		p.confirmedClear, p.mustAnswer = false, l.config.Policy == Loans && (p.live || p.mustAnswer)
 	}
 	if l.livePeers() == 0 || l.config.Policy != Loans {
 		return
@@ -186,6 +186,9 @@
 	}
 	if t >= l.resumedAt+l.loanTerm {
 		l.resumedAt = 0
+		for _, p := range l.peers {
+			p.mustAnswer = false
+		}
 		return out
 	}
 	l.nextResume = t + int64(reportInterval)
@@ -207,14 +210,15 @@
 	return true
 }
 
-// receiveResumed unblocks the slots after a pause once every peer has answered that it took over nothing.
+// receiveResumed unblocks the slots after a pause once every peer has answered that it took over nothing, also those that
+// seem to be unreachable since the pause.
 func (l *Pool) receiveResumed(p *peer, m Resumed) {
 	if l.resumedAt == 0 || m.Sent < stamp(l.resumedAt) || !m.Clear {
 		return
 	}
-	p.confirmedClear = true
+	p.confirmedClear, p.mustAnswer = true, false
 	for _, other := range l.peers {
-		if other.live && !other.confirmedClear {
+		if other.mustAnswer || other.live && !other.confirmedClear {
 			return
 		}
 	}
--- a/slot/ledger.go
+++ b/slot/ledger.go
@@ -153,6 +153,7 @@
 	outstandingWant int // slots wanted and not yet lent, which the lender may still lend
 	lenderIdle      int // idle slots of the lender by its last response
 	confirmedClear  bool
+	mustAnswer      bool // was live before the last pause and has not answered since
 }
 
 // New returns an empty pool.
@@ -211,7 +212,7 @@
 		}
 	}
 	l.peers = slices.DeleteFunc(l.peers, func(p *peer) bool {
-		unused := !p.live && len(p.lent) == 0 && len(p.borrowed) == 0
+		unused := !p.live && !p.mustAnswer && len(p.lent) == 0 && len(p.borrowed) == 0
 		if unused {
 			l.maxLentID = max(l.maxLentID, p.lastLentID)
 			delete(l.byPeer, p.id)
--- a/slot/pause_test.go
+++ b/slot/pause_test.go
@@ -49,3 +49,26 @@
 	z.run(900*time.Millisecond, nil) // until it learns that it owns the endpoint no longer
 	is.Equal(z.inUse()[endpointID(0)], 1)
 }
+
+// Guards against two tasks on one slot: a VM is paused, and the peer that took its endpoint over is unreachable for it right after
+// the pause, while another peer answers that it has taken nothing over.
+func TestResumeWithoutAnswerOfLostPeerUnblocksSlots(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 3, 1, 1, 1)
+	paused, next := z.vms[0], z.vms[2]
+	z.run(1100*time.Millisecond, nil)
+	paused.queued, paused.paused = 0, true
+	z.run(700*time.Millisecond, nil)
+	z.removeVM(paused)
+	z.owners = []string{next.id}
+	z.inform(z.vms[1])
+	z.inform(next)
+	z.run(1200*time.Millisecond, nil)
+	is.Equal(z.demand(next, 1, 10*time.Millisecond), 1)
+	paused.paused = false
+	z.alive, z.owners = []string{paused.id, z.vms[1].id}, []string{paused.id}
+	z.inform(paused)
+	z.inform(z.vms[1])
+	is.Equal(z.demand(paused, 1, 900*time.Millisecond), 0) // until it learns of the new owner
+	is.Equal(z.inUse()[endpointID(0)], 1)
+}
