Block slots after a second pause before the peers are heard again

Cause: a VM without live peers does not block its slots after a pause. After a first pause it takes its peers for unreachable until it hears them again, so a second pause within that time blocked nothing, and the term of the first block ran on during it.

Evidence: TestSecondPauseWithoutPeersUnblocksSlots (0.6 s, then 1.8 s) failed before: two tasks on the only slot of an endpoint. It was not seen on real processes.

Result: it passes. go test -race ./slot passes.

--- a/slot/handover.go
+++ b/slot/handover.go
@@ -160,12 +160,14 @@
 // handleClockPause drops all loans and blocks the owned slots, because peers may have taken the endpoints over during
 // the pause.
 func (l *Pool) handleClockPause(t int64) {
+	peers := false
 	for _, p := range l.peers {
 		l.removeAllLoans(p)
 		p.openWant, p.unansweredWant, p.outstandingWant, p.recalled = 0, 0, 0, 0
 		p.confirmedClear, p.mustAnswer = false, l.config.Policy == Loans && (p.live || p.mustAnswer)
+		peers = peers || p.mustAnswer
 	}
-	if l.livePeers() == 0 || l.config.Policy != Loans {
+	if !peers {
 		return
 	}
 	l.resumedAt, l.nextResume = t, t
--- a/slot/pause_test.go
+++ b/slot/pause_test.go
@@ -72,3 +72,29 @@
 	is.Equal(z.demand(paused, 1, 900*time.Millisecond), 0) // until it learns of the new owner
 	is.Equal(z.inUse()[endpointID(0)], 1)
 }
+
+// Guards against two tasks on one slot: a VM is paused again before it has heard its peers after a first pause, and its slots were
+// usable after the second one, when the term of the first one was over.
+func TestSecondPauseWithoutPeersUnblocksSlots(t *testing.T) {
+	is := is.New(t)
+	z := newTestZone(Config{}, 2, 1, 1, 1)
+	paused, next := z.vms[0], z.vms[1]
+	z.owners = []string{paused.id}
+	z.inform(paused)
+	z.inform(next)
+	z.run(1100*time.Millisecond, nil)
+	paused.paused = true
+	z.run(600*time.Millisecond, nil)
+	paused.paused = false
+	z.alive = []string{paused.id}
+	z.inform(paused) // the peer has timed out on its clock
+	paused.paused = true
+	z.run(600*time.Millisecond, nil)
+	z.alive, z.owners = []string{next.id}, []string{next.id}
+	z.inform(next)
+	z.run(1200*time.Millisecond, nil)
+	is.Equal(z.demand(next, 1, 10*time.Millisecond), 1)
+	paused.paused = false
+	is.Equal(z.demand(paused, 1, 500*time.Millisecond), 0) // until it learns of the new owner
+	is.Equal(z.inUse()[endpointID(0)], 1)
+}
