Start best-effort tasks on a worker at another address only with later evidence

Callers saw: nothing traced to it; found by reading.

Cause: a worker that is listed at another address under its id is a restarted one, but only one at the same address counted as such. The revision that VMs name does not cover it, since its entry is as old as before. So a lost holder started a task on it, or reported a run there, while the next holder, which had read its earlier incarnation, started the task elsewhere.

Change: it counts as restarted.

The cases with the same address are unchanged.

--- a/placement/tenure_test.go
+++ b/placement/tenure_test.go
@@ -137,7 +137,7 @@
 
 // jobOnRestartedWorker plays a holder that is replaced without knowing it: the next holder reads w00 and w01, then w00 restarts, and
 // the lost holder, which doesn't use w01, sees that and starts the task of a best-effort job there.
-func jobOnRestartedWorker(t *testing.T) (sg *simGroup, lost updater, j *simJob, key SubmissionKey) {
+func jobOnRestartedWorker(t *testing.T, address string) (sg *simGroup, lost updater, j *simJob, key SubmissionKey) {
 	t.Helper()
 	sg = newSimGroup(t, 1, 2)
 	sg.workers["w01"].Labels = []string{"a", "near"} // so that the next holder uses it
@@ -149,6 +149,7 @@
 	sg.replaceScheduler()
 	sg.run(220 * time.Millisecond)
 	sg.crash(sg.workers["w00"])
+	sg.workers["w00"].Address = address
 	list := WorkerList{Workers: []worker.Worker{sg.workers["w00"].Worker, sg.workers["w01"].Worker}}
 	list.Workers[1].Draining = true
 	sg.step(lost, list)
@@ -164,38 +165,46 @@
 // Guards against a second run of a best-effort job's task on a worker that has restarted after the next holder had read it: its
 // new incarnation takes the start of the lost holder, to which the VM of the job has sent messages after the restart.
 func TestRestartedWorkerTakesJobOfLostHolder(t *testing.T) {
-	is := is.New(t)
-	sg, _, j, _ := jobOnRestartedWorker(t)
-	sg.run(780 * time.Millisecond) // its VM has lost the link to the first holder
-	(&history{simGroup: sg}).resubmit(j, Progress{})
-	sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
-	is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
+	for _, address := range []string{"w00:1", "w00:2"} {
+		t.Run(address, func(t *testing.T) {
+			is := is.New(t)
+			sg, _, j, _ := jobOnRestartedWorker(t, address)
+			sg.run(780 * time.Millisecond) // its VM has lost the link to the first holder
+			(&history{simGroup: sg}).resubmit(j, Progress{})
+			sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
+			is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
+		})
+	}
 }
 
 // Guards against a second run of a best-effort job's task that the lost holder has reported as running on the new incarnation of a
 // worker: the next holder takes the earlier one that it has read for that worker.
 func TestReportNamesWorkerThatRestarted(t *testing.T) {
-	is := is.New(t)
-	sg, lost, j, key := jobOnRestartedWorker(t)
-	sg.step(lost, HandOver{})
-	progress := Progress{}
-	switch v := sg.verdicts[key].(type) {
-	case HandedOver:
-		progress = v.Progress
-	case NotRun:
-	default:
-		t.Fatalf("verdict %T", v)
+	for _, address := range []string{"w00:1", "w00:2"} {
+		t.Run(address, func(t *testing.T) {
+			is := is.New(t)
+			sg, lost, j, key := jobOnRestartedWorker(t, address)
+			sg.step(lost, HandOver{})
+			progress := Progress{}
+			switch v := sg.verdicts[key].(type) {
+			case HandedOver:
+				progress = v.Progress
+			case NotRun:
+			default:
+				t.Fatalf("verdict %T", v)
+			}
+			(&history{simGroup: sg}).resubmit(j, progress)
+			sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
+			is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
+		})
 	}
-	(&history{simGroup: sg}).resubmit(j, progress)
-	sg.run(2 * time.Second) // simGroup fails the test if a task runs twice at a time
-	is.Equal(sg.alive[j.work.ID+".0.0.0"], 1)
 }
 
 // Guards against a second run of a task that the lost holder reports as not started: an order that it sent before must not reach
 // the restarted worker.
 func TestReportOfTaskThatIsNotStarted(t *testing.T) {
 	is := is.New(t)
-	sg, lost, j, _ := jobOnRestartedWorker(t)
+	sg, lost, j, _ := jobOnRestartedWorker(t, "w00:1")
 	other := &simJob{work: oneTask("00000000000000bb", 40000), policy: directPolicy, sent: sg.now, length: 3 * time.Second}
 	key := SubmissionKey{Conn: 7, Sequence: 2}
 	sg.knownJobs[other.work.ID] = other
@@ -210,3 +219,22 @@
 	is.Equal(sg.alive[other.work.ID+".0.0.0"], 1)
 	is.Equal(sg.alive[j.work.ID+".0.0.0"], 0)
 }
+
+// Guards against a best-effort task on a worker that has restarted at another address during the tenure, when another holder may
+// have read its earlier incarnation: the VM of the job knew its earlier entry.
+func TestWorkerRestartsAtAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	h := newDurableHolder(t, 1)
+	h.after(10 * time.Millisecond)
+	h.entry.Address, h.entry.Incarnation = "w1:2", 2
+	h.do(WorkerList{Workers: []worker.Worker{h.entry}})
+	h.answer(2, nil)
+	is.True(h.workers["w1"].synced)
+	const id = "00000000000000aa"
+	effects := h.do(Submit{Key: SubmissionKey{Conn: 7, Sequence: 1}, Work: oneTask(id, 10000), Policy: directPolicy, Budget: time.Minute, PermitUntil: h.now.Add(750 * time.Millisecond)})
+	is.True(!h.started(effects, id))
+	h.after(50 * time.Millisecond)
+	is.True(!h.started(h.do(Tick{}), id))
+	h.confirm(0)
+	is.True(h.started(h.do(Tick{}), id))
+}
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -61,7 +61,8 @@
 		if w != nil {
 			s.loseRuns(w, "listed at another address")
 		}
-		s.addWorker(entry).added = m.Added[entry.ID]
+		added := s.addWorker(entry)
+		added.added, added.restarted = m.Added[entry.ID], w != nil
 		delete(s.forgotten, entry.ID)
 		s.logEvent("worker-added", "", entry.ID, "listed", nil)
 	}
