--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -272,28 +272,21 @@
 	is.Equal(holding.jobs.Load(), int64(0))
 }
 
-// Guards against starting a request whose VM is paused again while it waits for the disconnect of the caller.
-func TestVMPausedAgainStartsWaitingRequest(t *testing.T) {
+// Guards against starting a request whose caller has sent it elsewhere during a second pause, which came while the request
+// waited for the disconnect of its caller after the first one.
+func TestPauseWhileWaitingForDisconnectStartsRequest(t *testing.T) {
 	is := is.New(t)
-	var elapsed atomic.Int64 // as a time.Duration
-	start := time.Now()
 	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, Settings: Settings{VM: "v", Zone: "a", ClientRetryDelay: 1300 * time.Millisecond}})
-	g.pauseDetector = newPauseDetector(
-		func() time.Duration { return time.Hour + time.Duration(elapsed.Load()) },
-		func() time.Time { return start.Add(time.Duration(elapsed.Load())) },
-	)
+	var boot atomic.Int64 // as a time.Duration
+	g.pauseDetector = newPauseDetector(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
 	g.ctx = t.Context()
-	pauseFor := func(d time.Duration) {
-		elapsed.Add(int64(d))
-		g.checkPause(t.Context())
-	}
-	pauseFor(700 * time.Millisecond)
-	replies := make(chan Reply, 1)
-	g.background(t.Context(), func(ctx context.Context) {
-		replies <- g.Submit(ctx, Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	boot.Add(int64(800 * time.Millisecond))
+	g.checkPause(t.Context())
+	time.AfterFunc(callerDisconnectWait/3, func() {
+		boot.Add(int64(3 * time.Second))
+		g.checkPause(t.Context()) // as the next tick does
 	})
-	time.Sleep(callerDisconnectWait / 3)
-	pauseFor(2 * time.Second)
-	_, undecided := (<-replies).(OutcomeUnknown)
-	is.True(undecided) // not refused by the next group: the job may run elsewhere
+	reply := g.Submit(t.Context(), Submission{Work: job.Work{ID: "0000000000000001", BestEffort: true}, Budget: time.Second})
+	_, undecided := reply.(OutcomeUnknown)
+	is.True(undecided) // not refused: the job was not to be submitted anywhere
 }
--- a/slot/handover.go
+++ b/slot/handover.go
@@ -127,7 +127,8 @@
 		if n == nil || !n.setPeerUse(p.id, item.Count, m.Sent, t+l.loanTerm) {
 			continue
 		}
-		if item.Release > n.ownerEpoch {
+		// After a pause, a release may be old, and its sender may own the endpoint again; the peers answer whether that is so.
+		if item.Release > n.ownerEpoch && l.resumedAt == 0 {
 			n.ownerEpoch, n.releasedAt = item.Release, t
 			n.blockedUntil, n.blockedByPause = 0, false
 		}
@@ -159,18 +160,22 @@
 // handleClockPause drops all loans and blocks the owned slots, because peers may have taken the endpoints over during
 // the pause.
 func (l *Pool) handleClockPause(t int64) {
+	peers := false
 	for _, p := range l.peers {
 		l.removeAllLoans(p)
 		p.openWant, p.unansweredWant, p.outstandingWant, p.recalled = 0, 0, 0, 0
-		p.confirmedClear = false
+		p.confirmedClear, p.mustAnswer = false, l.config.Policy == Loans && (p.live || p.mustAnswer)
+		peers = peers || p.mustAnswer
 	}
-	if l.livePeers() == 0 || l.config.Policy != Loans {
+	if !peers {
 		return
 	}
 	l.resumedAt, l.nextResume = t, t
 	for _, n := range l.endpoints {
 		if n.ownedHere {
-			n.blockedUntil, n.blockedByPause = t+l.loanTerm, true
+			// Slots that waited for the tasks of their former owner go on waiting when the peers have answered.
+			n.blockedByPause = n.blockedUntil <= t || n.blockedByPause
+			n.blockedUntil = t + l.loanTerm
 			l.refreshCounts(n)
 		}
 	}
@@ -183,6 +188,9 @@
 	}
 	if t >= l.resumedAt+l.loanTerm {
 		l.resumedAt = 0
+		for _, p := range l.peers {
+			p.mustAnswer = false
+		}
 		return out
 	}
 	l.nextResume = t + int64(reportInterval)
@@ -204,14 +212,15 @@
 	return true
 }
 
-// receiveResumed unblocks the slots after a pause once every peer has answered that it took over nothing.
+// receiveResumed unblocks the slots after a pause once every peer has answered that it took over nothing, also those that
+// seem to be unreachable since the pause.
 func (l *Pool) receiveResumed(p *peer, m Resumed) {
 	if l.resumedAt == 0 || m.Sent < stamp(l.resumedAt) || !m.Clear {
 		return
 	}
-	p.confirmedClear = true
+	p.confirmedClear, p.mustAnswer = true, false
 	for _, other := range l.peers {
-		if other.live && !other.confirmedClear {
+		if other.mustAnswer || other.live && !other.confirmedClear {
 			return
 		}
 	}
