--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -208,7 +208,7 @@
 // holdUnconfirmed holds a group of the own zone whose holder is unreachable, without the confirmation of the store.
 // This is safe because the workers accept only the holder with the highest fence.
 func (g *Gateway) holdUnconfirmed(ctx context.Context, group string) {
-	if zone, _ := splitGroup(group); zone != g.settings.Zone || !g.cache.stale() || time.Since(g.started) < g.lastLifeTimeout() {
+	if zone, _ := splitGroup(group); zone != g.settings.Zone || !g.cache.stale() || time.Since(g.started) < g.previousIncarnationTimeout() {
 		return
 	}
 	state, record := g.groupState(group)
@@ -233,9 +233,9 @@
 	g.startDriver(ctx, group, fence, true)
 }
 
-// lastLifeTimeout is the time after the start of this VM by which the orders and runs of its last life have ended. That
-// one may have held groups without the store under the fences that this one would use.
-func (g *Gateway) lastLifeTimeout() time.Duration {
+// previousIncarnationTimeout is the time after the start of this VM by which the orders and runs of its previous incarnation
+// have ended. That one may have held groups without the store under the fences that this one would use.
+func (g *Gateway) previousIncarnationTimeout() time.Duration {
 	rules := g.config.PlacementRules
 	rules.LeaseDuration = g.settings.LeaseDuration
 	return rules.LeaseDuration + rules.LeaseError() + rules.KillTime
--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -118,9 +118,9 @@
 	is.True(g.driverOf("a#0").currentFence() > before)
 }
 
-// Guards against orders of a VM's last life that workers take for those of its next one: it is killed while it holds a group
-// without the store, and holds it again at once.
-func TestRestartedVMHoldsUnderTheFenceOfItsLastLife(t *testing.T) {
+// Guards against orders of a VM's previous incarnation that workers take for those of the present one: it is killed while it
+// holds a group without the store, and holds it again at once.
+func TestRestartedVMHoldsUnderTheFenceOfItsPreviousIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		keys := newRegistryStore()
@@ -137,7 +137,7 @@
 		after.holdUnconfirmed(after.ctx, "a#0")
 		d := after.driverOf("a#0")
 		is.True(d == nil || d.currentFence() > fence)
-		time.Sleep(1200 * time.Millisecond) // the last orders of the earlier life have expired
+		time.Sleep(1200 * time.Millisecond) // the last orders of the previous incarnation have expired
 		after.cache.mu.Lock()
 		after.cache.unavailable = true
 		after.cache.mu.Unlock()
