--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -122,24 +122,32 @@
 	is.Equal(g.pauseDetector.detectPause(), time.Duration(0)) // a late tick is not a pause
 }
 
-// Guards against a holder that starts tasks after a pause: another message for a group comes between the detection of the
-// pause and the end of the group's scheduler.
-func TestPausedHolderStartsTaskBeforeItsGroupIsDropped(t *testing.T) {
-	is := is.New(t)
-	workers := &countingWorkers{}
+// holderWithWorker returns a VM that holds the group a#0 and has polled its only worker. Its pauses are detected by the given
+// clock.
+func holderWithWorker(t *testing.T, workers *countingWorkers, boot func() time.Duration) *Gateway {
+	t.Helper()
 	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
-	var boot atomic.Int64 // as a time.Duration
-	g.pauseDetector = newPauseDetector(func() time.Duration { return time.Duration(boot.Load()) }, time.Now)
+	g.pauseDetector = newPauseDetector(boot, time.Now)
 	g.ctx = t.Context()
 	g.cache.partitions["a"] = zonePartition{Groups: 1}
 	g.cache.ownKeysRead = true
 	g.cache.workersReadAt = time.Now().Add(-time.Hour)
 	g.cache.applyOwnWrite(workerEntry("w", 5))
 	g.startDriver(g.ctx, "a#0", 256, false)
+	g.driverOf("a#0").apply(g.ctx, placement.RestoreDone{})
+	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	return g
+}
+
+// Guards against a holder that starts tasks after a pause: another message for a group comes between the detection of the
+// pause and the end of the group's scheduler.
+func TestPausedHolderStartsTaskBeforeItsGroupIsDropped(t *testing.T) {
+	is := is.New(t)
+	workers := &countingWorkers{}
+	var boot atomic.Int64 // as a time.Duration
+	g := holderWithWorker(t, workers, func() time.Duration { return time.Duration(boot.Load()) })
 	d := g.driverOf("a#0")
 	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
-	d.apply(g.ctx, placement.RestoreDone{})
-	time.Sleep(50 * time.Millisecond) // the worker has been polled
 	submit := func(sequence uint64, id string) {
 		w := job.Work{ID: id, BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
 		d.apply(g.ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: sequence}, Work: w, Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Budget: time.Minute})
@@ -165,24 +173,15 @@
 func TestPauseAfterTheCheckGrantsANewLease(t *testing.T) {
 	is := is.New(t)
 	workers := &countingWorkers{}
-	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
 	var paused atomic.Bool
-	g.pauseDetector = newPauseDetector(func() time.Duration {
+	g := holderWithWorker(t, workers, func() time.Duration {
 		if paused.Load() {
 			time.Sleep(500 * time.Millisecond) // after the clock was read
 		}
 		return 0
-	}, time.Now)
-	g.ctx = t.Context()
-	g.cache.partitions["a"] = zonePartition{Groups: 1}
-	g.cache.ownKeysRead = true
-	g.cache.workersReadAt = time.Now().Add(-time.Hour)
-	g.cache.applyOwnWrite(workerEntry("w", 5))
-	g.startDriver(g.ctx, "a#0", 256, false)
+	})
 	d := g.driverOf("a#0")
 	d.sendVerdict = func(placement.SubmissionKey, placement.Verdict, map[string]placement.Load) {}
-	d.apply(g.ctx, placement.RestoreDone{})
-	time.Sleep(50 * time.Millisecond) // the worker has been polled
 	before := time.Now()
 	paused.Store(true)
 	w := job.Work{ID: "0000000000000001", BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -9,11 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"samphireplank.example/samphireplank/job"
-	"samphireplank.example/samphireplank/placement"
 )
 
 // Guards against a VM that was paused and starts the jobs of callers who have left since: it reaches their requests only after
@@ -22,15 +20,7 @@
 	is := is.New(t)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as on a VM with one core
 	workers := &countingWorkers{}
-	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), Store: emptyStore{}, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
-	g.ctx = t.Context()
-	g.cache.partitions["a"] = zonePartition{Groups: 1}
-	g.cache.ownKeysRead = true
-	g.cache.workersReadAt = time.Now().Add(-time.Hour)
-	g.cache.applyOwnWrite(workerEntry("w", 5))
-	g.startDriver(g.ctx, "a#0", 256, false)
-	g.driverOf("a#0").apply(g.ctx, placement.RestoreDone{})
-	time.Sleep(50 * time.Millisecond) // the worker has been polled
+	g := holderWithWorker(t, workers, bootClock)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	const requests = 20
