Store a durable job once in a write to the store

Callers saw: nothing yet.

Cause: two requests for the job reached a VM within 4 ms, the first one after a stall. Both transactions went into one write. Each has the condition that the job's key does not exist, which holds for both before the write, so both were accepted. Each had chosen a group, and both holders were told.

Change: a write contains each job once; the other transaction follows in the next one and conflicts. The request then finds the job stored and is accepted without a second group.

Failed before: TestJobIsStoredTwiceInOneWrite (no conflict).

--- a/gateway/commit_batcher.go
+++ b/gateway/commit_batcher.go
@@ -74,8 +74,8 @@
 	ctx = context.WithoutCancel(ctx) // other callers also wait for these writes
 	for {
 		b.mu.Lock()
-		batch := b.queue[:min(len(b.queue), maxJobsPerWrite)]
-		b.queue = b.queue[len(batch):]
+		var batch []*pendingCommit
+		batch, b.queue = nextBatch(b.queue)
 		if len(batch) == 0 {
 			b.writers--
 			b.mu.Unlock()
@@ -87,6 +87,22 @@
 	}
 }
 
+// nextBatch returns the transactions for the next write and those that remain. A write contains each job once, since the
+// conditions of two transactions that create the same key do not conflict within one write.
+func nextBatch(queue []*pendingCommit) (batch, rest []*pendingCommit) {
+	keys := map[string]bool{}
+	for _, x := range queue {
+		key := x.Puts[0].Key
+		if len(batch) == maxJobsPerWrite || keys[key] {
+			rest = append(rest, x)
+			continue
+		}
+		keys[key] = true
+		batch = append(batch, x)
+	}
+	return batch, rest
+}
+
 // write stores a batch and returns the store's error if it was unavailable or did not apply the write; a conflict is
 // not returned.
 func (b *commitBatcher) write(ctx context.Context, batch []*pendingCommit) error {
--- a/gateway/commit_batcher_test.go
+++ b/gateway/commit_batcher_test.go
@@ -57,6 +57,21 @@
 	return store.Transaction{Conditions: []store.Condition{{Key: key}}, Puts: []store.KeyValue{{Key: key}}}
 }
 
+// Guards against a job that two groups run: two requests for it arrive at a VM within one write, and each stores it for another
+// group.
+func TestJobIsStoredTwiceInOneWrite(t *testing.T) {
+	is := is.New(t)
+	a := &commitBatcher{keys: &fakeStore{keys: map[string]bool{}}, writers: 1}
+	for _, key := range []string{"a", "b", "a"} {
+		a.queue = append(a.queue, &pendingCommit{Transaction: createKey(key), done: make(chan struct{})})
+	}
+	queued := a.queue
+	a.writeLoop(t.Context())
+	is.NoErr(queued[0].err)
+	is.NoErr(queued[1].err)
+	is.True(errors.Is(queued[2].err, store.ErrConflict))
+}
+
 // Guards against one write per job at a peak, and against a conflict of one job that fails the other jobs of its write.
 func TestCommitBatcherSharesWrites(t *testing.T) {
 	is := is.New(t)
