--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -30,7 +30,12 @@
 	g.cache.partitions["a"] = zonePartition{Groups: 1}
 	g.cache.ownKeysRead = true
 	own := claim.Record{VM: "v", Incarnation: g.self.Incarnation}
-	g.cache.holders["a#0"] = holderRecord{Record: own, revision: 1}
+	record := func(r holderRecord) {
+		g.cache.mu.Lock()
+		defer g.cache.mu.Unlock()
+		g.cache.holders["a#0"] = r
+	}
+	record(holderRecord{Record: own, revision: 1})
 	g.decideGroups(ctx)
 	old := g.driverOf("a#0")
 	is.Equal(old.currentFence(), int64(fencesPerRevision))
@@ -38,7 +43,7 @@
 	old.sendVerdict = func(_ placement.SubmissionKey, v placement.Verdict, _ map[string]placement.Load) { verdict = v }
 	old.apply(ctx, placement.Submit{Key: placement.SubmissionKey{Sequence: 1}, Budget: time.Minute, Resumed: true, Work: job.Work{ID: "0000000000000001", BestEffort: true, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}})
 
-	g.cache.holders["a#0"] = holderRecord{Record: claim.Record{VM: "u", Incarnation: 1}, revision: 2} // u is unreachable by now
+	record(holderRecord{Record: claim.Record{VM: "u", Incarnation: 1}, revision: 2}) // u is unreachable by now
 	g.decideGroups(ctx)
 	is.True(g.driverOf("a#0") != old) // whether or not the claim succeeds
 	_, handedOver := verdict.(placement.HandedOver)
@@ -53,7 +58,7 @@
 	is.True(now != nil && now.currentFence() == 3*fencesPerRevision)
 	is.True(now != old)
 
-	g.cache.holders["a#0"] = holderRecord{Record: own, revision: 5} // nothing is known of the records in between
+	record(holderRecord{Record: own, revision: 5}) // nothing is known of the records in between
 	g.decideGroups(ctx)
 	is.True(g.driverOf("a#0") != now)
 	is.Equal(g.driverOf("a#0").currentFence(), int64(5*fencesPerRevision))
