Review case 5: remove the zone's machines as planned work

The case stands without any unplanned disruption: both machines of the zone are stopped by SIGTERM, one after the other.

--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -240,7 +240,7 @@
 	return l.lostJobs(jobs), nil
 }
 
-// zoneLost has the loss of all machines of a zone for good, while its executors go on.
+// zoneLost has the planned removal of all machines of a zone for good, one after the other, while its executors go on.
 func zoneLost(l *lab) ([]string, error) {
 	const (
 		steady  = 4 * time.Second // for which all must have been calm before the 3 s
@@ -262,6 +262,7 @@
 		for _, n := range l.nodes {
 			if n.zone == zones[0] {
 				n.remove()
+				time.Sleep(3 * time.Second)
 			}
 		}
 	}
--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -16,6 +16,7 @@
 const (
 	program      = "target/samphireplank"
 	restartDelay = 300 * time.Millisecond
+	graceTime    = 6 * time.Second // from SIGTERM to SIGKILL
 )
 
 // node is a machine of the system.
@@ -123,12 +124,26 @@
 	return highest, nil
 }
 
-// remove ends the process for good.
+// remove stops the process for good, as the platform does, and waits for its end.
 func (n *node) remove() {
 	n.mu.Lock()
 	n.removed = true
 	n.mu.Unlock()
+	n.signal(syscall.SIGTERM)
+	for until := time.Now().Add(graceTime); n.runs() && time.Now().Before(until); time.Sleep(pause) {
+		continue
+	}
 	n.signal(syscall.SIGKILL)
+	for n.runs() {
+		time.Sleep(pause)
+	}
+	n.lab.saidf("%s is removed", n.name)
+}
+
+func (n *node) runs() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd != nil
 }
 
 // watchReadiness asks the machine each second whether it takes new channels.
