--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -11,6 +11,7 @@
 func init() {
 	scenarios["ends-in-outage"] = endsInOutage
 	scenarios["other-kind"] = otherKind
+	scenarios["unconfirmed-holder"] = unconfirmedHolder
 	scenarios["long-list"] = longList
 	scenarios["hopeless-job"] = hopelessJob
 	scenarios["executor-gone"] = executorGone
@@ -65,6 +66,39 @@
 	return l.judge.twice(), nil
 }
 
+// unconfirmedHolder has a store that is down while some tasks end, and a kill of the machine that has given the orders, so that
+// another one takes the executors over without the store. They have run more than 400 tasks before.
+func unconfirmedHolder(l *lab) ([]string, error) {
+	const outage = 4500 * time.Millisecond
+	if err := l.deploy(size{nodes: 2, kinds: []string{"a", "a"}, cpu: 64000}); err != nil {
+		return nil, err
+	}
+	var earlier, jobs []*job
+	for n := range 24 {
+		earlier = append(earlier, newJob(zones[n%len(zones)], step{Count: 150, CPU: 2000, EstimateMS: 60}, taskSpec{MS: []int{60}}))
+	}
+	for range 8 {
+		jobs = append(jobs, newJob(zones[0], step{Count: 120, CPU: 2000, EstimateMS: 300}, taskSpec{MS: []int{300}}))
+	}
+	l.awaitEnds(l.submitAll(earlier))
+	time.Sleep(time.Second)
+	jobs = l.submitAll(jobs)
+	holder, err := l.newestHolder(zones[0])
+	if err != nil {
+		return nil, err
+	}
+	if l.trouble {
+		l.saidf("the store is down (503) for %v", outage)
+		l.store.setDown(true)
+		time.AfterFunc(outage, func() { l.saidf("the store is back"); l.store.setDown(false) })
+		time.Sleep(outage / 2)
+		holder.signal(syscall.SIGKILL)
+	}
+	time.Sleep(outage)
+	l.awaitEnds(jobs)
+	return l.judge.twice(), nil
+}
+
 // otherKind has an executor that crashes and starts again under its id and at its address, of another kind, while the store is
 // down.
 func otherKind(l *lab) ([]string, error) {
