--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -11,6 +14,7 @@
 func init() {
 	scenarios["ends-in-outage"] = endsInOutage
 	scenarios["other-kind"] = otherKind
+	scenarios["cut-machine"] = cutMachine
 	scenarios["unconfirmed-holder"] = unconfirmedHolder
 	scenarios["long-list"] = longList
 	scenarios["hopeless-job"] = hopelessJob
@@ -358,5 +362,62 @@
 	return append(l.judge.mixed, l.judge.alone...), nil
 }
 
+// cutMachine has a machine that is cut off from everything while clients of best-effort jobs leave it and send them elsewhere.
+func cutMachine(l *lab) ([]string, error) {
+	const (
+		patience = 500 * time.Millisecond // of clients that leave early
+		resend   = 1300 * time.Millisecond
+		cut      = 2200 * time.Millisecond
+	)
+	l.cuts = true
+	if err := l.deploy(size{nodes: 2, kinds: []string{"a", "a"}, cpu: 64000}); err != nil {
+		return nil, err
+	}
+	holder, err := l.newestHolder(zones[0])
+	if err != nil {
+		return nil, err
+	}
+	x, other := l.nodes[0], l.nodes[2]
+	if x == holder {
+		x = l.nodes[1]
+	}
+	var group sync.WaitGroup
+	for range 10 {
+		j := newJob(zones[0], step{Count: 2, CPU: 3000, EstimateMS: 3000}, taskSpec{MS: []int{3000}})
+		group.Go(func() {
+			l.bestEffort(j, x, patience)
+			time.Sleep(resend)
+			l.bestEffort(j, other, 10*time.Second)
+		})
+	}
+	time.Sleep(2 * pause)
+	if l.trouble {
+		l.saidf("%s is cut off for %v", x.name, cut)
+		x.gate.cut()
+		time.Sleep(cut)
+		x.gate.heal()
+		l.saidf("the cut is over")
+	}
+	group.Wait()
+	return l.judge.together(), nil
+}
+
+// bestEffort sends a job that needn't be kept to a node on a channel of its own, and leaves after some time.
+func (l *lab) bestEffort(j *job, n *node, patience time.Duration) {
+	near, far := net.Pipe()
+	l.background(func() { l.passClient(n, far) })
+	spec, err1 := json.Marshal(j.spec)
+	body, err2 := json.Marshal(map[string]any{"spec": string(spec), "steps": []step{j.step}, "best_effort": true})
+	if err := errors.Join(err1, err2, near.SetDeadline(time.Now().Add(patience))); err != nil {
+		panic(err) // only this program's own values
+	}
+	_, _ = fmt.Fprintf(near, "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nTime-Remaining: 10000\r\nContent-Length: %d\r\n\r\n%s", prefix, j.id, host, len(body), body)
+	answer := make([]byte, 4096)
+	count, err := near.Read(answer)
+	line, _, _ := strings.Cut(string(answer[:count]), "\r\n")
+	l.printf("client POST %s at %s, which it leaves after %v: %s %v", j.id, n.name, patience, line, err)
+	_ = near.Close()
+}
+
 // isGroupOf reports whether a group belongs to a zone.
 func isGroupOf(group, zone string) bool { return strings.HasPrefix(group, zone+"#") }
--- a/review/lab/judge.go
+++ b/review/lab/judge.go
@@ -181,6 +181,19 @@
 	return found
 }
 
+// together returns the starts of tasks beside another run of them, which break TWICE also for jobs that needn't be kept.
+func (j *judge) together() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []string
+	for _, s := range j.starts {
+		for _, other := range s.overlaps {
+			found = append(found, fmt.Sprintf("%s run %d starts on %s beside %s", s.task, s.number, s.on, other))
+		}
+	}
+	return found
+}
+
 // runsOf returns the number of runs of a job that are there, and how many of its tasks have ended as done.
 func (j *judge) runsOf(id string) (active, done int) {
 	j.mu.Lock()
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -45,6 +45,7 @@
 	judge        *judge
 	turn         atomic.Int64
 	trouble      bool
+	cuts         bool // machines can be cut off
 	client       *http.Client
 	cue          chan struct{} // closed when the cue is given
 	group        sync.WaitGroup
@@ -84,10 +85,13 @@
 			l.background(x.beat)
 		}
 		for i := range s.nodes {
-			l.nodes = append(l.nodes, &node{lab: l, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, host: l.hostOf(z+1, i+1)})
+			l.nodes = append(l.nodes, &node{lab: l, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, host: l.hostOf(z+1, i+1), link: l.hostOf(z+21, i+1), gate: newGate()})
 		}
 	}
-	for _, n := range l.nodes {
+	for i, n := range l.nodes {
+		if err := l.connect(n, i); err != nil {
+			return err
+		}
 		if err := n.supervise(); err != nil {
 			return err
 		}
--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -21,10 +21,13 @@
 
 // node is a machine of the system.
 type node struct {
-	lab  *lab
-	name string
-	zone string
-	host string
+	lab     *lab
+	name    string
+	zone    string
+	host    string
+	link    string // host at which other machines reach it
+	gate    *gate  // of its channels to other machines, to the store and to clients
+	storeAt string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -52,7 +55,7 @@
 		"fault_tolerance.regions=0", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.drain_ms=2000", "bounds.grace_s=6",
 		"bounds.hold_max_ms=1000", "bounds.stop_ms=50", "bounds.gang_ms=3000", "bounds.cancel_ms=3000", "bounds.visible_ms=3000",
 		"bounds.early_ms=250", "bounds.finish_s=14", "bounds.status_s=120", "bounds.checkpoint_interval_s=1", "bounds.restore_ms=600",
-		"bounds.resend_ms=1300", "orders=call", "platform.address="+n.lab.storeAddress, "platform.form=kv", "platform.writes_per_s=400",
+		"bounds.resend_ms=1300", "orders=call", "platform.address="+n.storeAt, "platform.form=kv", "platform.writes_per_s=400",
 		"platform.reads_per_s=2000", "platform.history_s=20", "platform.value_bytes=1048576", "platform.ttl_min_ms=1000", "")
 	return strings.Join(lines, "\n")
 }
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -35,6 +35,8 @@
 	revision int64
 	changed  chan struct{}
 	down     bool // 503 to all calls
+	// translate changes the values that machines write; nil for none.
+	translate func(value []byte) []byte
 }
 
 func newKeyValues() *keyValues {
@@ -215,6 +217,9 @@
 	}
 	k.revision++
 	for _, s := range t.Set {
+		if k.translate != nil {
+			s.Value = k.translate(s.Value)
+		}
 		k.set(s.Key, s.Value)
 	}
 	for _, key := range t.Remove {
