Keep runs whose ends may stand behind a list that was cut short

Cause: a worker lists 500 ended runs at a time. A run that was neither running nor among them was given up as "not listed by its worker", and its task started again, although its end came with the next list. A new holder took a worker for read after such a list, and started tasks whose ends stood behind it. Evidence: TestEndBehindCutListIsNotLost and TestEndBehindCutListIsNotLostByNextHolder fail without the change ("the end of task ... is acknowledged, but the task has started again since"). Why it works: reports say whether their list of ends was cut short. Then absence from the list leads to no act: runs stay, and tasks that an earlier holder may have ended wait for a complete list, which the acknowledgements bring. The stand-in worker lists 500 ends at a time too.

--- a/gateway/sim_worker_test.go
+++ b/gateway/sim_worker_test.go
@@ -249,6 +249,7 @@
 		replied = true
 		report := w.report()
 		report.Ended = slices.Clone(w.ended[:min(len(w.ended), 500)])
+		report.MoreEnded = len(w.ended) > 500
 		for _, r := range w.runs {
 			report.Running = append(report.Running, worker.ActiveRun{Run: r.Run, Progress: int(min(100*time.Since(r.startedAt)/max(r.length, 1), 100))})
 		}
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -141,7 +141,7 @@
 		}
 	}
 	for name, f := range s.orphans {
-		if f.worker == w && !f.done && !present[name] {
+		if f.worker == w && !f.done && !present[name] && !w.endsCutShort {
 			delete(s.orphans, name)
 		}
 	}
@@ -157,14 +157,24 @@
 	return names
 }
 
-// allSynced reports whether every listed worker has reported its runs under the current fence.
+// allSynced reports whether every listed worker has reported its runs, and all that have ended, under the current fence.
 func (s *Scheduler) allSynced() bool {
 	for _, w := range s.sortedWorkers {
 		if !w.synced {
 			return false
 		}
 	}
-	return len(s.sortedWorkers) > 0
+	return len(s.sortedWorkers) > 0 && !s.hasUnlistedEnds()
+}
+
+// hasUnlistedEnds reports whether a worker that is polled has ended more runs than it could list.
+func (s *Scheduler) hasUnlistedEnds() bool {
+	for _, w := range s.sortedWorkers {
+		if w.synced && w.endsCutShort {
+			return true
+		}
+	}
+	return false
 }
 
 // unsyncedWorkers returns the number of listed workers that have not reported their runs under the current fence.
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -67,6 +67,20 @@
 	return s.listRevision >= s.claimRevision && s.allSynced()
 }
 
+// priorRunsOpen reports whether a run of an earlier holder may be running, or may have ended without being listed here.
+func (s *Scheduler) priorRunsOpen(js *jobState) bool {
+	switch {
+	case js.priorRunsUntil.IsZero():
+		return false
+	case s.now.Before(js.priorRunsUntil):
+		return s.incompleteList || !s.durableRunsListed()
+	case s.hasUnlistedEnds():
+		return true
+	}
+	js.priorRunsUntil = time.Time{}
+	return false
+}
+
 // handleRestoreDone processes the deferred ends once all durable jobs of the group are loaded.
 func (s *Scheduler) handleRestoreDone() {
 	if s.restored {
--- a/placement/durable_test.go
+++ b/placement/durable_test.go
@@ -106,19 +106,27 @@
 		sg.logDecisions(id)
 		sg.t.Fatalf("%v: task %s started after its end was acknowledged", sg.now.Sub(sg.start), o.Task)
 	}
+	for _, number := range sg.completedRuns[o.Task] {
+		sg.repeatedRuns[worker.Run{Task: o.Task, Number: number}] = true
+	}
 	if sg.acknowledgedFailures[o.Task] >= s.Policy.MaxAttempts {
 		sg.t.Fatalf("task %s started after %d failed runs", o.Task, sg.acknowledgedFailures[o.Task])
 	}
 }
 
-// acknowledge records that the scheduler has acknowledged an ended run.
-func (sg *simGroup) acknowledge(e worker.EndedRun) {
-	id, _, _, _ := job.ParseTaskName(e.Task)
+// acknowledge records that the scheduler has acknowledged an ended run. A completed run may be repeated only if the lease of its
+// worker has expired before its end was acknowledged.
+func (sg *simGroup) acknowledge(w *simWorker, e worker.EndedRun) {
+	id, step, _, _ := job.ParseTaskName(e.Task)
 	if sg.stored[id] == nil {
 		return
 	}
 	switch e.Outcome {
 	case worker.Done:
+		if sg.repeatedRuns[e.Run] && e.Sequence > w.lapsedThrough && !sg.stored[id].Work.Steps[step].Lasting {
+			sg.logDecisions(id)
+			sg.t.Fatalf("%v: the end of task %s on %s is acknowledged, but the task has started again since", sg.now.Sub(sg.start), e.Task, w.ID)
+		}
 		sg.acknowledged[e.Task] = true
 	case worker.Failed:
 		sg.acknowledgedFailures[e.Task]++
@@ -416,3 +424,53 @@
 		is.True(completed)
 	}
 }
+
+// Guards against tasks that run twice because their ends stand behind the 500 that a worker lists at a time.
+func TestEndBehindCutListIsNotLost(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 7, 1)
+	sg.run(20 * time.Millisecond)
+	long := grain
+	long.cores = 60
+	var ids []string
+	for range 8 {
+		ids = append(ids, sg.storeJob(long, 100))
+	}
+	sg.run(400 * time.Millisecond)
+	w := sg.workers["w00"]
+	is.True(len(w.runs) > 600)
+	w.unreachable = true
+	for task := range w.runs {
+		sg.endRun(w, task, worker.Done)
+	}
+	sg.run(900 * time.Millisecond) // less than the lease
+	w.unreachable = false
+	sg.run(9 * time.Second)
+	for _, id := range ids {
+		is.Equal(sg.stored[id].state, DurableCompleted)
+	}
+}
+
+// Guards against tasks that a new holder runs again because their ends stand behind the 500 that a worker lists at a time.
+func TestEndBehindCutListIsNotLostByNextHolder(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 7, 1)
+	sg.run(20 * time.Millisecond)
+	long := grain
+	long.cores = 60
+	var ids []string
+	for range 8 {
+		ids = append(ids, sg.storeJob(long, 100))
+	}
+	sg.run(400 * time.Millisecond)
+	w := sg.workers["w00"]
+	is.True(len(w.runs) > 600)
+	sg.replaceScheduler()
+	for task := range w.runs {
+		sg.endRun(w, task, worker.Done)
+	}
+	sg.run(9 * time.Second)
+	for _, id := range ids {
+		is.Equal(sg.stored[id].state, DurableCompleted)
+	}
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -100,7 +100,7 @@
 		return true
 	}
 	t := &js.steps[i].tasks[j]
-	if js.durable && (!s.restored || s.now.Before(js.priorRunsUntil) && (s.incompleteList || !s.durableRunsListed())) {
+	if js.durable && (!s.restored || s.priorRunsOpen(js)) {
 		return true
 	}
 	if !s.now.Before(t.priorRunUntil) {
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -130,6 +130,7 @@
 	}
 	if outcome == worker.Done {
 		sg.doneTasks[task] = true
+		sg.completedRuns[task] = append(sg.completedRuns[task], r.number)
 	}
 	w.ended = append(w.ended, worker.EndedRun{Sequence: w.sequence, Run: worker.Run{Task: task, Number: r.number}, Outcome: outcome})
 	if w.answerPoll != nil {
@@ -147,6 +148,7 @@
 	if sg.clock(w) < w.lease {
 		return
 	}
+	w.lapsedThrough = w.sequence
 	tasks := make([]string, 0, len(w.runs))
 	for task := range w.runs {
 		tasks = append(tasks, task)
@@ -164,7 +166,7 @@
 		sg.breakGang(r)
 	}
 	clear(w.runs)
-	w.ended, w.sequence, w.fence, w.lease = nil, 0, 0, 0
+	w.ended, w.sequence, w.lapsedThrough, w.fence, w.lease = nil, 0, 0, 0, 0
 	clear(w.highestRuns)
 	w.Incarnation++
 	w.token++
@@ -225,7 +227,7 @@
 			sg.extendLease(w, o.Lease)
 		}
 		for len(w.ended) > 0 && w.ended[0].Sequence <= o.AckedThrough {
-			sg.acknowledge(w.ended[0])
+			sg.acknowledge(w, w.ended[0])
 			w.ended = w.ended[1:]
 		}
 		replied, incarnation := false, w.Incarnation
@@ -237,6 +239,7 @@
 			w.answerPoll = nil
 			r := sg.report(w)
 			r.Ended = append([]worker.EndedRun(nil), w.ended[:min(len(w.ended), 500)]...)
+			r.MoreEnded = len(w.ended) > 500
 			for task, run := range w.runs {
 				progress := 0
 				if !w.noProgress {
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -23,6 +23,7 @@
 	free            worker.Resources
 	runs            map[string]*run
 	unknownRuns     int                // listed runs that this scheduler did not start
+	endsCutShort    bool               // the last list of ended runs was cut short, so that a run that is not listed may have ended
 	handledSequence int64              // sequence of the last ended run that was processed
 	ackedSequence   int64              // last sequence that was acknowledged to the worker
 	pendingAcks     map[int64]struct{} // sequences of ended runs that must not be acknowledged yet
@@ -273,7 +274,7 @@
 			order.Lease = s.extendLease(w)
 			order.Wait = s.pollWait(w)
 		case w.ackedSequence < order.AckedThrough:
-			if s.now.Sub(w.lastPollAt) < s.rules.AckDelay {
+			if s.now.Sub(w.lastPollAt) < s.rules.AckDelay && !w.endsCutShort {
 				continue
 			}
 		default:
@@ -325,6 +326,12 @@
 		return
 	}
 	w.ackedSequence = max(w.ackedSequence, m.Order.AckedThrough)
+	if m.Report.MoreEnded && !w.endsCutShort {
+		s.logEvent("ends-cut-short", "", w.ID, "the worker has ended more runs than it lists at a time", map[string]int64{
+			"listed": int64(len(m.Report.Ended)), "acked": w.ackedSequence, "runs": int64(len(w.runs)),
+		})
+	}
+	w.endsCutShort = m.Report.MoreEnded
 	if !w.synced {
 		s.syncWorker(w, m.Report)
 		return
@@ -437,6 +444,8 @@
 			}
 		case !r.confirmed.IsZero() && !r.confirmed.Before(m.SentAt):
 			// The run started after the list was requested.
+		case m.Report.MoreEnded:
+			// Its end may stand behind the listed ones, and is listed once these are acknowledged.
 		default:
 			s.loseRun(r, "not listed by its worker")
 		}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -291,6 +291,9 @@
 	receiver time.Time // start of the incarnation that received the order
 }
 
+// maxListedEnds is the number of ended runs that a worker lists at a time.
+const maxListedEnds = 500
+
 // reasonCrashed is the reason of orders that are not answered, since the incarnation that received them has ended.
 const reasonCrashed = "crashed"
 
@@ -496,7 +499,7 @@
 		running = append(running, []any{task, r.number, "", progress, r.cpu})
 	}
 	sort.Slice(running, func(i, j int) bool { return running[i][0].(string) < running[j][0].(string) })
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.sequence, e.task, e.run, e.how, ""})
 	}
 	replyJSON(ctx, map[string]any{"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "running": running, "ended": ended})
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -143,6 +143,7 @@
 	Incarnation int64         // start of the incarnation in Unix milliseconds, 0 if the response does not contain it
 	Running     []ActiveRun   // only in the response to a PollOrder
 	Ended       []EndedRun    // only in the response to a PollOrder
+	MoreEnded   bool          // Ended was cut short: further runs may have ended
 }
 
 // Reason is why an order was rejected or not sent.
