Acknowledge an end only once it is settled

Cause: beyond 400 ends that could not be acknowledged, all were. A new holder counted from 0 to the ends of the worker's whole life, and acknowledged those of jobs that it had never read; a holder that knew the jobs lost what it had not stored when it was killed. Related path: a holder that had read the jobs acknowledged ends of unknown ones, which may have been stored since and run by the earlier holder. Why it works: one ledger decides. An end is held until its effect is stored, its job is known not to be durable, or a read of the stored jobs that began after it was listed does not have its job.

--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -47,6 +47,7 @@
 	series           map[string]*storedJob           // scheduled jobs, which the scheduler does not have
 	ended            map[string]time.Time            // by key without its prefix
 	pendingWrites    map[string]placement.PersistJob // by the scheduler's id
+	readRequested    bool                            // the scheduler has ends of jobs that may have been stored since the jobs were read
 	wake             chan struct{}
 	interval         time.Duration // used by run only
 }
@@ -75,9 +76,10 @@
 // run restores the durable jobs of the group and writes the scheduler's updates until another VM holds the group.
 func (p *jobPersister) run(ctx context.Context) {
 	for p.isCurrent(ctx) {
+		began := time.Now()
 		snapshot, err := p.g.config.Store.Range(ctx, openJobsPrefix)
 		if err == nil {
-			p.restore(ctx, snapshot)
+			p.restore(ctx, snapshot, began)
 			break
 		}
 		pause(ctx, retryDelay)
@@ -93,6 +95,7 @@
 			p.writeBatch(ctx, batch)
 			pause(ctx, p.interval)
 		}
+		p.readAgain(ctx)
 		p.schedule(ctx)
 		if time.Since(swept) > sweepInterval {
 			swept = time.Now()
@@ -102,14 +105,14 @@
 }
 
 // restore submits the jobs that the store had for the group when this VM claimed it.
-func (p *jobPersister) restore(ctx context.Context, snapshot store.Snapshot) {
+func (p *jobPersister) restore(ctx context.Context, snapshot store.Snapshot, began time.Time) {
 	jobs := 0
 	for _, item := range snapshot.Items {
 		if p.addJob(ctx, item, true) {
 			jobs++
 		}
 	}
-	p.d.apply(ctx, placement.RestoreDone{})
+	p.d.apply(ctx, placement.RestoreDone{Since: began})
 	p.mu.Lock()
 	p.restoredRevision = max(snapshot.Revision, 1)
 	early := p.deferredItems
@@ -121,6 +124,36 @@
 	p.g.log.Info().Str("event", "restored").Str("group", p.d.group).Int("jobs", jobs).Int64("revision", snapshot.Revision).Msg("restored the durable jobs of the group")
 }
 
+// requestRead makes the persister read the open jobs again.
+func (p *jobPersister) requestRead() {
+	p.mu.Lock()
+	p.readRequested = true
+	p.mu.Unlock()
+	p.wakeUp()
+}
+
+// readAgain reads the open jobs if the scheduler has requested it. After an error the next call tries again.
+func (p *jobPersister) readAgain(ctx context.Context) {
+	p.mu.Lock()
+	requested := p.readRequested
+	p.mu.Unlock()
+	if !requested {
+		return
+	}
+	began := time.Now()
+	snapshot, err := p.g.config.Store.Range(ctx, openJobsPrefix)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.readRequested = false
+	p.mu.Unlock()
+	for _, item := range snapshot.Items {
+		p.addJob(ctx, item, false)
+	}
+	p.d.apply(ctx, placement.DurableJobsRead{Since: began})
+}
+
 // handleItem processes an open job, or a change of one, that another VM has written. Items that arrive before the jobs
 // were read are deferred.
 func (p *jobPersister) handleItem(ctx context.Context, item store.KeyValue) {
@@ -418,8 +451,8 @@
 	}
 	for _, item := range snapshot.Items {
 		var ended endedJob
-		if err := json.Unmarshal(item.Value, &ended); err == nil && time.Since(ended.Ended) < p.g.settings.EndedJobRetention+clockSkewMargin {
-			continue
+		if err := json.Unmarshal(item.Value, &ended); err != nil || time.Since(ended.Ended) < p.g.settings.EndedJobRetention+clockSkewMargin {
+			continue // an entry that can't be read may be that of a later version
 		}
 		expired.Conditions = append(expired.Conditions, store.Condition{Key: item.Key, Revision: item.Revision})
 		expired.Deletes = append(expired.Deletes, item.Key)
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"samphireplank.example/samphireplank/job"
@@ -29,11 +31,13 @@
 	version     int
 }
 
-// deferredEnd is an ended run that was listed before the durable jobs of the group were loaded.
+// deferredEnd is an ended run of an unknown job. It may be that of a durable job which an earlier holder ran and which has not been
+// read here: the job counts as none only once a read of the durable jobs that began later has not shown it.
 type deferredEnd struct {
 	worker      *workerState
 	incarnation int64
 	end         worker.EndedRun
+	listedAt    time.Time
 }
 
 // submitDurable accepts a durable job; such a job is never refused and has no deadline.
@@ -51,6 +55,7 @@
 		js.priorRunsUntil = s.firstUpdate.Add(s.rules.DurableHolderEnd)
 	}
 	s.releaseReadySteps(js)
+	s.settleEndsOf(js)
 	for i := range js.steps {
 		for j := range js.steps[i].tasks {
 			s.adoptRun(js.name(i, j))
@@ -81,18 +86,56 @@
 	return false
 }
 
-// handleRestoreDone processes the deferred ends once all durable jobs of the group are loaded.
-func (s *Scheduler) handleRestoreDone() {
-	if s.restored {
-		return
-	}
+// handleRestoreDone records that all durable jobs of the group are loaded.
+func (s *Scheduler) handleRestoreDone(m RestoreDone) {
 	s.restored = true
-	for _, l := range s.deferredEnds {
-		if l.worker.incarnation == l.incarnation {
-			s.handleEarlierEnd(l.worker, l.end)
+	s.handleJobsRead(m.Since)
+}
+
+// handleJobsRead settles the ends of unknown jobs that were listed before a read of the durable jobs began.
+func (s *Scheduler) handleJobsRead(since time.Time) {
+	s.readingJobs = false
+	for _, id := range slices.Sorted(maps.Keys(s.deferredEnds)) {
+		ends := s.deferredEnds[id]
+		left := ends[:0]
+		for _, d := range ends {
+			if !d.listedAt.Before(since) {
+				left = append(left, d)
+				continue
+			}
+			s.settleDeferred(d)
+		}
+		s.deferredEnds[id] = left
+		if len(left) == 0 {
+			delete(s.deferredEnds, id)
 		}
 	}
-	s.deferredEnds = nil
+}
+
+// settleDeferred processes a deferred end. It is held again if it changes a durable job.
+func (s *Scheduler) settleDeferred(d deferredEnd) {
+	if d.worker.incarnation != d.incarnation {
+		return
+	}
+	d.worker.acks.settle(d.end.Sequence)
+	s.countEarlierEnd(d.worker, d.end)
+}
+
+// settleEndsOf processes the deferred ends of a job that has become known.
+func (s *Scheduler) settleEndsOf(js *jobState) {
+	ends := s.deferredEnds[js.work.ID]
+	delete(s.deferredEnds, js.work.ID)
+	for _, d := range ends {
+		s.settleDeferred(d)
+	}
+}
+
+// readUnknownJobs requests a read of the durable jobs while ends of unknown jobs wait for one.
+func (s *Scheduler) readUnknownJobs() {
+	if len(s.deferredEnds) > 0 && s.restored && !s.readingJobs {
+		s.readingJobs = true
+		s.emit(ReadDurableJobs{})
+	}
 }
 
 // cancelDurable ends a durable job at the caller's request.
@@ -119,20 +162,36 @@
 	if !js.closed {
 		js.version++ // the version at which a job closes is its last
 	}
-	w.pendingAcks[e.Sequence] = struct{}{}
+	w.acks.hold(e.Sequence)
 	js.pendingAcks = append(js.pendingAcks, pendingAck{worker: w, incarnation: w.incarnation, sequence: e.Sequence, version: js.version})
 	s.unpersisted = append(s.unpersisted, js)
 }
 
-// handleEarlierEnd processes the end of a run that this scheduler does not have. It counts for a durable job
-// nevertheless.
+// handleEarlierEnd processes the end of a run that this scheduler does not have.
 func (s *Scheduler) handleEarlierEnd(w *workerState, e worker.EndedRun) {
-	if !s.restored {
-		s.deferredEnds = append(s.deferredEnds, deferredEnd{worker: w, incarnation: w.incarnation, end: e})
+	id, _, _, ok := job.ParseTaskName(e.Task)
+	if !ok || e.Outcome != worker.Done && e.Outcome != worker.Failed {
+		return // no job depends on it
+	}
+	if w.acks.isHeld(e.Sequence) {
+		return // listed again
+	}
+	if s.jobs[id] == nil && s.durableJobs[id] == nil {
+		w.acks.hold(e.Sequence)
+		s.deferredEnds[id] = append(s.deferredEnds[id], deferredEnd{worker: w, incarnation: w.incarnation, end: e, listedAt: s.now})
 		return
 	}
+	s.countEarlierEnd(w, e)
+}
+
+// countEarlierEnd counts the end of a run that this scheduler does not have for its durable job, if it has one.
+func (s *Scheduler) countEarlierEnd(w *workerState, e worker.EndedRun) {
 	js, i, j := s.locateTask(e.Task)
-	if js == nil || !js.durable || js.work.Steps[i].Lasting {
+	if js == nil {
+		s.deferAck(w, e) // until the end of its job is stored
+		return
+	}
+	if !js.durable || js.work.Steps[i].Lasting {
 		return
 	}
 	t := &js.steps[i].tasks[j]
@@ -189,7 +248,7 @@
 		case x.version > m.Version:
 			left = append(left, x)
 		case x.worker.incarnation == x.incarnation:
-			delete(x.worker.pendingAcks, x.sequence)
+			x.worker.acks.settle(x.sequence)
 		}
 	}
 	js.pendingAcks = left
@@ -202,29 +261,13 @@
 	}
 }
 
-// maxUnacked limits the unacknowledged ends of a worker. Workers list 500 ends at a time, so new ends would not be
-// listed beyond that. The scheduler knows the older ends; they are lost only if it stops before the store is available
-// again.
-const maxUnacked = 400
-
-// ackableThrough returns the sequence of the last end that may be acknowledged.
-func (s *Scheduler) ackableThrough(w *workerState) int64 {
-	last := w.handledSequence
-	for sequence := range w.pendingAcks {
-		last = min(last, sequence-1)
-	}
-	if !s.restored {
-		last = w.ackedSequence
-	}
-	if w.handledSequence-last > maxUnacked {
-		return w.handledSequence
-	}
-	return last
-}
+// maxUnackable is the number of ends of a worker, none of which may be acknowledged yet, from which on it gets no new task.
+// Workers list 500 ends at a time, and the remaining 100 are for the tasks that run there.
+const maxUnackable = 400
 
 // throttlePoll reports whether to delay the next poll: a worker responds at once while it lists unacknowledged ends.
 func (s *Scheduler) throttlePoll(w *workerState) bool {
-	return s.ackableThrough(w) < w.handledSequence && s.now.Sub(w.lastPollAt) < s.rules.UnackedPollInterval
+	return w.acks.unackable() > 0 && s.now.Sub(w.lastPollAt) < s.rules.UnackedPollInterval
 }
 
 // lateness ranks a job by the remaining value of its end: 0 on time, 1 late, 2 for durable jobs that are very late.
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -176,6 +176,7 @@
 		s.logEvent("job-resumed", js.work.ID, "", progressSource(m.Progress), map[string]int64{"unsynced-workers": s.unsyncedWorkers(), "tasks-left": int64(js.remaining)})
 	}
 	s.releaseReadySteps(js)
+	s.settleEndsOf(js)
 	s.adoptJob(js, m.Resumed, m.Progress)
 	if js.remaining == 0 && !js.closed {
 		s.closeJob(js, Completed{})
--- a/placement/message.go
+++ b/placement/message.go
@@ -130,7 +130,14 @@
 type CancelJob struct{ Job string }
 
 // RestoreDone reports that all durable jobs that an earlier holder may have run have been submitted.
-type RestoreDone struct{}
+type RestoreDone struct {
+	Since time.Time // when the read of the jobs began
+}
+
+// DurableJobsRead reports that all durable jobs of the group have been submitted that were stored when a read began.
+type DurableJobsRead struct {
+	Since time.Time // when the read of the jobs began
+}
 
 // Tick advances the time. It is sent at regular intervals.
 type Tick struct {
@@ -161,6 +168,7 @@
 func (JobPersisted) message()       {}
 func (CancelJob) message()          {}
 func (RestoreDone) message()        {}
+func (DurableJobsRead) message()    {}
 func (Tick) message()               {}
 func (DurablePermit) message()      {}
 func (HandOver) message()           {}
@@ -194,6 +202,9 @@
 	Progress Progress
 }
 
+// ReadDurableJobs reads the durable jobs of the group and returns a DurableJobsRead.
+type ReadDurableJobs struct{}
+
 // FencedOff reports that another holder has claimed the group; the Scheduler has stopped. Worker is empty if the VM of a job
 // has reported that holder.
 type FencedOff struct{ Worker string }
@@ -207,13 +218,14 @@
 	Values map[string]int64 // inputs of the decision; times in milliseconds
 }
 
-func (StartRun) effect()   {}
-func (StopRun) effect()    {}
-func (PollWorker) effect() {}
-func (Reply) effect()      {}
-func (PersistJob) effect() {}
-func (FencedOff) effect()  {}
-func (LogEvent) effect()   {}
+func (StartRun) effect()        {}
+func (StopRun) effect()         {}
+func (PollWorker) effect()      {}
+func (Reply) effect()           {}
+func (PersistJob) effect()      {}
+func (ReadDurableJobs) effect() {}
+func (FencedOff) effect()       {}
+func (LogEvent) effect()        {}
 
 // Verdict is the final result of a submission: one of Completed, Failed, NotRun, DeadlineExceeded and HandedOver.
 type Verdict interface{ verdict() }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -42,19 +42,20 @@
 	siblingRatios   ratioDistribution         // of run times to those of the other tasks of the step
 	startRTT        rttEstimator
 	permits         Permits
-	durablePermit   time.Time            // zero if there is no limit
-	durableEvidence time.Time            // of the permit
-	durableStopped  bool                 // the end of the permit was logged
-	known           map[uint64]int64     // revision of the newest worker entry that a VM knows of, by connection
-	listRevision    int64                // up to which the worker list is complete
-	removalsSince   time.Time            // removals from the worker list before are not known
-	listed          bool                 // a worker list has been received
-	forgotten       map[string]time.Time // when workers were removed that have not shown their runs, by id
-	durableJobs     map[string]*jobState // durable jobs until their end is persisted
-	unpersisted     []*jobState          // durable jobs with unpersisted changes
-	deferredEnds    []deferredEnd
-	longRunningJobs map[string]bool // reported by the earlier holder
-	restored        bool            // all durable jobs of the group have been loaded
+	durablePermit   time.Time                // zero if there is no limit
+	durableEvidence time.Time                // of the permit
+	durableStopped  bool                     // the end of the permit was logged
+	known           map[uint64]int64         // revision of the newest worker entry that a VM knows of, by connection
+	listRevision    int64                    // up to which the worker list is complete
+	removalsSince   time.Time                // removals from the worker list before are not known
+	listed          bool                     // a worker list has been received
+	forgotten       map[string]time.Time     // when workers were removed that have not shown their runs, by id
+	durableJobs     map[string]*jobState     // durable jobs until their end is persisted
+	unpersisted     []*jobState              // durable jobs with unpersisted changes
+	deferredEnds    map[string][]deferredEnd // by job
+	readingJobs     bool                     // a ReadDurableJobs has no result yet
+	longRunningJobs map[string]bool          // reported by the earlier holder
+	restored        bool                     // all durable jobs of the group have been loaded
 	effects         []Effect
 	unsorted        bool
 	stopped         bool // fenced off or handed over
@@ -74,6 +75,7 @@
 		orphans:         map[string]orphanedRun{},
 		durations:       map[string]*durationModel{},
 		durableJobs:     map[string]*jobState{},
+		deferredEnds:    map[string][]deferredEnd{},
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
 		permits:         Permits{},
@@ -121,7 +123,9 @@
 	case CancelJob:
 		s.cancelDurable(m.Job)
 	case RestoreDone:
-		s.handleRestoreDone()
+		s.handleRestoreDone(m)
+	case DurableJobsRead:
+		s.handleJobsRead(m.Since)
 	case Tick:
 		s.tick(m)
 	case DurablePermit:
@@ -138,6 +142,7 @@
 		s.expireJobs()
 		s.place()
 		s.persistChanged()
+		s.readUnknownJobs()
 		s.pollWorkers()
 	}
 	return s.effects
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -318,6 +318,8 @@
 		}
 	case PersistJob:
 		sg.persist(p, e)
+	case ReadDurableJobs:
+		sg.readDurableJobs(p)
 	case FencedOff:
 		sg.fenced = true
 	case LogEvent:
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -22,12 +22,11 @@
 	clockAt         time.Time     // when that reading was received
 	free            worker.Resources
 	runs            map[string]*run
-	unknownRuns     int                // listed runs that this scheduler did not start
-	endsCutShort    bool               // the last list of ended runs was cut short, so that a run that is not listed may have ended
-	handledSequence int64              // sequence of the last ended run that was processed
-	ackedSequence   int64              // last sequence that was acknowledged to the worker
-	pendingAcks     map[int64]struct{} // sequences of ended runs that must not be acknowledged yet
-	leaseExpiry     time.Time          // every lease granted so far, also by an earlier holder, has expired and its runs are killed by then
+	unknownRuns     int  // listed runs that this scheduler did not start
+	endsCutShort    bool // the last list of ended runs was cut short, so that a run that is not listed may have ended
+	acks            ackLedger
+	acksFull        bool      // so many ends may not be acknowledged that the worker gets no task
+	leaseExpiry     time.Time // every lease granted so far, also by an earlier holder, has expired and its runs are killed by then
 	polling         bool
 	lastPollAt      time.Time
 	unansweredCalls int // consecutive calls without a response
@@ -98,7 +97,7 @@
 }
 
 func newWorkerState(w worker.Worker) *workerState {
-	return &workerState{Worker: w, free: w.Capacity, runs: map[string]*run{}, pendingAcks: map[int64]struct{}{}, health: health{slowdown: 1, slowProduct: 1}}
+	return &workerState{Worker: w, free: w.Capacity, runs: map[string]*run{}, acks: newAckLedger(), health: health{slowdown: 1, slowProduct: 1}}
 }
 
 func (s *Scheduler) sortWorkers() {
@@ -192,8 +191,7 @@
 		}
 	}
 	s.dropOrphans(w)
-	w.synced, w.handledSequence, w.ackedSequence, w.probeAt = false, 0, 0, s.now
-	clear(w.pendingAcks)
+	w.synced, w.acks, w.probeAt = false, newAckLedger(), s.now
 	if until := s.runsEnd(s.rules.LeaseDuration); until.After(w.leaseExpiry) {
 		w.leaseExpiry = until // an earlier holder may have granted the new incarnation a lease until now
 	}
@@ -206,8 +204,7 @@
 	case to.Address != w.Address:
 	case to.Incarnation == 0: // the address belongs to another worker
 		s.loseRuns(w, "worker restarted")
-		w.synced, w.handledSequence, w.ackedSequence, w.incarnation = false, 0, 0, 0
-		clear(w.pendingAcks)
+		w.synced, w.acks, w.incarnation = false, newAckLedger(), 0
 	case to.Incarnation == w.incarnation:
 		readAt := w.incarnationAt
 		for _, r := range w.sortedRuns() {
@@ -245,7 +242,7 @@
 
 // usable reports whether new tasks may be sent to the worker.
 func (s *Scheduler) usable(w *workerState) bool {
-	if w.Draining || !w.synced || w.unansweredCalls > 0 || w.unknownRuns > 0 {
+	if w.Draining || !w.synced || w.unansweredCalls > 0 || w.unknownRuns > 0 || w.acks.unackable() >= maxUnackable {
 		return false
 	}
 	return w.removed.IsZero() || s.now.Sub(w.removed) < s.rules.RemovalGrace
@@ -257,7 +254,7 @@
 		if w.polling {
 			continue
 		}
-		order := worker.PollOrder{Target: target(w), Fence: s.fence, AckedThrough: s.ackableThrough(w)}
+		order := worker.PollOrder{Target: target(w), Fence: s.fence, AckedThrough: w.acks.ackable()}
 		switch {
 		case w.unansweredCalls > 0 || !w.synced || w.unknownRuns > 0:
 			if s.now.Before(w.probeAt) {
@@ -273,14 +270,14 @@
 		case len(w.runs) > 0:
 			order.Lease = s.extendLease(w)
 			order.Wait = s.pollWait(w)
-		case w.ackedSequence < order.AckedThrough:
+		case w.acks.acked < order.AckedThrough:
 			if s.now.Sub(w.lastPollAt) < s.rules.AckDelay && !w.endsCutShort {
 				continue
 			}
 		default:
 			continue
 		}
-		if order.Lease == 0 && (!w.synced || order.AckedThrough <= w.ackedSequence) {
+		if order.Lease == 0 && (!w.synced || order.AckedThrough <= w.acks.acked) {
 			// It changes nothing at the worker, so any incarnation may respond, and thus show a restart.
 			order.Incarnation, order.AckedThrough = 0, 0
 		}
@@ -325,10 +322,10 @@
 	if w.fromEarlierIncarnation(m.Report, m.SentAt) || !s.readClockAndIncarnation(w, m.Report, nil) {
 		return
 	}
-	w.ackedSequence = max(w.ackedSequence, m.Order.AckedThrough)
+	w.acks.acked = max(w.acks.acked, m.Order.AckedThrough)
 	if m.Report.MoreEnded && !w.endsCutShort {
 		s.logEvent("ends-cut-short", "", w.ID, "the worker has ended more runs than it lists at a time", map[string]int64{
-			"listed": int64(len(m.Report.Ended)), "acked": w.ackedSequence, "runs": int64(len(w.runs)),
+			"listed": int64(len(m.Report.Ended)), "acked": w.acks.acked, "unackable": w.acks.unackable(), "runs": int64(len(w.runs)),
 		})
 	}
 	w.endsCutShort = m.Report.MoreEnded
@@ -337,9 +334,24 @@
 		return
 	}
 	s.handleEndedRuns(w, m.Report.Ended)
+	s.logHeldAcks(w)
 	s.reconcileRunning(w, m)
 }
 
+// logHeldAcks logs when a worker gets no more tasks because its ends may not be acknowledged, and when it does again.
+func (s *Scheduler) logHeldAcks(w *workerState) {
+	full := w.acks.unackable() >= maxUnackable
+	if full == w.acksFull {
+		return
+	}
+	w.acksFull = full
+	event, reason := "acks-released", ""
+	if full {
+		event, reason = "acks-held", "too many ends of the worker wait for the store"
+	}
+	s.logEvent(event, "", w.ID, reason, map[string]int64{"unackable": w.acks.unackable(), "unknown-jobs": int64(len(s.deferredEnds)), "durable-jobs": int64(len(s.durableJobs))})
+}
+
 func (s *Scheduler) handlePollError(w *workerState, order worker.PollOrder, err error) {
 	if reason, ok := worker.RejectionReason(err); ok {
 		switch reason {
@@ -367,10 +379,9 @@
 // syncWorker processes the first poll response of a worker under the current fence.
 func (s *Scheduler) syncWorker(w *workerState, report worker.Report) {
 	w.synced = true
-	w.handledSequence = 0
 	until := s.now.Add(s.rules.AdoptionTimeout)
 	for _, e := range report.Ended {
-		w.handledSequence = max(w.handledSequence, e.Sequence)
+		w.acks.handled = max(w.acks.handled, e.Sequence)
 		if own := w.runs[e.Task]; own != nil && own.number == e.Number {
 			s.deferAck(w, e)
 			s.handleRunEnded(own, e)
@@ -401,10 +412,10 @@
 // handleEndedRuns processes the ended runs that have not been processed yet.
 func (s *Scheduler) handleEndedRuns(w *workerState, ends []worker.EndedRun) {
 	for _, e := range ends {
-		if e.Sequence <= w.handledSequence {
+		if e.Sequence <= w.acks.handled {
 			continue
 		}
-		w.handledSequence = e.Sequence
+		w.acks.handled = e.Sequence
 		r := w.runs[e.Task]
 		if r == nil || r.number != e.Number {
 			s.handleEarlierEnd(w, e)
@@ -444,8 +455,9 @@
 			}
 		case !r.confirmed.IsZero() && !r.confirmed.Before(m.SentAt):
 			// The run started after the list was requested.
-		case m.Report.MoreEnded:
-			// Its end may stand behind the listed ones, and is listed once these are acknowledged.
+		case m.Report.MoreEnded && (r.job.durable || w.acks.unackable() < maxUnackable):
+			// Its end may stand behind the listed ones, and is listed once these are acknowledged. While they can't be, a job
+			// that is not stored runs the task again.
 		default:
 			s.loseRun(r, "not listed by its worker")
 		}
