Count failed runs by their numbers

Cause: a failed end counted only if its run had a higher number than those counted before. A new holder hears the ends of several workers in any order, so that an earlier run that failed was not counted. Evidence: TestFailuresAreCountedInAnyOrder fails on the code before: 4 failed runs, 3 allowed. Why it works: the progress of a job has the numbers of the counted runs. Records of earlier versions have only the highest one, and count as before.

--- a/placement/durable.go
+++ b/placement/durable.go
@@ -208,11 +208,9 @@
 			s.stopRun(r)
 		}
 		s.completeTask(js, i, j)
-	case e.Outcome == worker.Failed && e.Number > t.lastCountedRun && t.phase != taskDone:
+	case e.Outcome == worker.Failed && !t.hasCounted(e.Number) && t.phase != taskDone:
 		s.deferAck(w, e)
-		t.lastCountedRun = e.Number
-		js.failOtherMembers(i, j)
-		t.failed++
+		js.countFailure(i, j, e.Number)
 		t.avoidWorkers = append(t.avoidWorkers, w.ID)
 		if t.failed >= max(js.policy.MaxAttempts, 1) {
 			s.failJob(js, i, j, w.ID)
--- a/placement/durable_test.go
+++ b/placement/durable_test.go
@@ -567,3 +567,37 @@
 	is.Equal(sg.stored[id].state, DurableCompleted)
 	is.True(sg.acknowledged[task])
 }
+
+// Guards against more failed runs than the route allows when a new holder hears of the last one first.
+func TestFailuresAreCountedInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 11, 3)
+	sg.run(20 * time.Millisecond)
+	sg.maxStoreDelay = 1000_000 // no failure is stored
+	bad := quote
+	bad.route, bad.attempts, bad.length = poisonRoute, 3, 40*time.Millisecond
+	id := sg.storeJob(bad, 1)
+	task := job.TaskName(id, 0, 0)
+	holds := func(number int) *simWorker {
+		for _, w := range sg.workers {
+			if w.highestRuns[task] == number {
+				return w
+			}
+		}
+		return nil
+	}
+	at := 20 * time.Millisecond
+	for ; holds(2) == nil && at < 3*time.Second; at += time.Millisecond {
+		sg.run(at)
+	}
+	first := holds(1)
+	is.True(first != nil) // the first two runs failed on different workers
+	first.unreachable = true
+	sg.maxStoreDelay = 5
+	sg.replaceScheduler()
+	sg.run(at + 300*time.Millisecond)
+	first.unreachable = false
+	sg.run(9 * time.Second)
+	is.Equal(sg.acknowledgedFailures[task], bad.attempts)
+	is.Equal(sg.stored[id].state, DurableFailed)
+}
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -205,14 +205,13 @@
 	}
 }
 
-// failOtherMembers counts the failure of one member for the other members.
-func (js *jobState) failOtherMembers(i, j int) {
-	if !js.isGang(i) {
-		return
-	}
+// countFailure counts a failed run of a task. The failure of a member of a gang counts for all members.
+func (js *jobState) countFailure(i, j, number int) {
 	for other := range js.steps[i].tasks {
-		if t := &js.steps[i].tasks[other]; other != j {
-			t.failed, t.lastCountedRun = t.failed+1, js.steps[i].tasks[j].lastCountedRun
+		if other == j || js.isGang(i) {
+			t := &js.steps[i].tasks[other]
+			t.failed++
+			t.failedRuns = append(t.failedRuns, number)
 		}
 	}
 }
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -63,7 +64,8 @@
 	phase          taskPhase
 	lastRun        int // highest run number
 	failed         int
-	lastCountedRun int       // highest number of a failed run that is counted
+	failedRuns     []int     // numbers of the counted failed runs, in the order in which their ends were listed
+	countedThrough int       // all failed runs up to this number are counted, by the record of an earlier version
 	moves          int       // runs stopped because their worker was slow
 	priorRunUntil  time.Time // a run of an earlier holder may be running until then
 	priorRunWorker string    // worker of that run; empty if any worker may have it
@@ -71,6 +73,20 @@
 	checkpoint     string    // newest checkpoint
 }
 
+// hasCounted reports whether a failed run is counted. Several workers list the ends of a task in any order.
+func (t *task) hasCounted(number int) bool {
+	return number <= t.countedThrough || slices.Contains(t.failedRuns, number)
+}
+
+// lastCountedRun returns the highest number of a failed run that is counted.
+func (t *task) lastCountedRun() int {
+	last := t.countedThrough
+	for _, number := range t.failedRuns {
+		last = max(last, number)
+	}
+	return last
+}
+
 func (js *jobState) name(step, index int) string { return job.TaskName(js.work.ID, step, index) }
 
 // anyWorker stands for the worker of a run that may be running on an unknown worker.
@@ -82,9 +98,12 @@
 	for i := range js.steps {
 		n := len(js.steps[i].tasks)
 		done, failed, counted, runs := make([]bool, n), make([]int, n), make([]int, n), make([]int, n)
-		on, checkpoints := make([]string, n), make([]string, n)
+		on, checkpoints, failedRuns := make([]string, n), make([]string, n), make([][]int, n)
 		for j, t := range js.steps[i].tasks {
-			done[j], failed[j], counted[j], runs[j], checkpoints[j] = t.phase == taskDone, t.failed, t.lastCountedRun, t.lastRun, t.checkpoint
+			done[j], failed[j], counted[j], runs[j], checkpoints[j] = t.phase == taskDone, t.failed, t.lastCountedRun(), t.lastRun, t.checkpoint
+			if t.countedThrough == 0 {
+				failedRuns[j] = slices.Clone(t.failedRuns)
+			}
 			if r := alive[js.name(i, j)]; r != nil {
 				on[j] = r.worker.ID
 			} else if f, ok := earlier[js.name(i, j)]; ok && !f.done {
@@ -95,6 +114,7 @@
 		}
 		p.Done, p.Failed, p.Counted = append(p.Done, done), append(p.Failed, failed), append(p.Counted, counted)
 		p.Runs, p.On, p.Checkpoints = append(p.Runs, runs), append(p.On, on), append(p.Checkpoints, checkpoints)
+		p.FailedRuns = append(p.FailedRuns, failedRuns)
 	}
 	return p
 }
@@ -106,7 +126,12 @@
 		}
 		for j := range js.steps[i].tasks {
 			t := &js.steps[i].tasks[j]
-			t.failed, t.lastCountedRun, t.lastRun, t.checkpoint = p.Failed[i][j], p.Counted[i][j], p.Runs[i][j], p.Checkpoints[i][j]
+			t.failed, t.lastRun, t.checkpoint = p.Failed[i][j], p.Runs[i][j], p.Checkpoints[i][j]
+			if stepLength(p.FailedRuns, i) == len(p.Failed[i]) && len(p.FailedRuns[i][j]) == t.failed {
+				t.failedRuns = slices.Clone(p.FailedRuns[i][j])
+			} else {
+				t.countedThrough = p.Counted[i][j]
+			}
 			if p.On != nil {
 				t.priorRunWorker = p.On[i][j]
 			}
@@ -356,14 +381,12 @@
 	}
 }
 
-// failTask counts a failed run, and fails the job when the policy allows no more attempts.
+// failTask queues a task again after a failed run, or fails its job when the policy allows no more attempts.
 func (s *Scheduler) failTask(js *jobState, i, j int, on string) {
 	if js.closed {
 		return
 	}
 	t := &js.steps[i].tasks[j]
-	js.failOtherMembers(i, j)
-	t.failed++
 	t.avoidWorkers = append(t.avoidWorkers, on)
 	if t.failed >= max(js.policy.MaxAttempts, 1) {
 		s.failJob(js, i, j, on)
--- a/placement/message.go
+++ b/placement/message.go
@@ -55,6 +55,7 @@
 	Done        [][]bool   `json:"done,omitempty"`        // by step and task
 	Failed      [][]int    `json:"failed,omitempty"`      // failed runs by step and task
 	Counted     [][]int    `json:"counted,omitempty"`     // highest number of a counted failed run, by step and task
+	FailedRuns  [][][]int  `json:"failed-runs,omitempty"` // numbers of the counted failed runs, likewise; nil from earlier versions
 	Runs        [][]int    `json:"runs,omitempty"`        // highest run number by step and task
 	On          [][]string `json:"on,omitempty"`          // worker that may still run the task, likewise; nil if unknown
 	Checkpoints [][]string `json:"checkpoints,omitempty"` // newest checkpoint, by step and task
--- a/placement/run.go
+++ b/placement/run.go
@@ -327,7 +327,7 @@
 	r.job.started = true
 	s.saveCheckpoint(r, e.Checkpoint)
 	outcome := e.Outcome
-	if outcome == worker.Failed && r.job.isGang(r.step) && r.number <= r.job.steps[r.step].tasks[r.index].lastCountedRun {
+	if outcome == worker.Failed && r.job.isGang(r.step) && r.job.steps[r.step].tasks[r.index].hasCounted(r.number) {
 		outcome = worker.GangBroken // the failure of this gang run is already counted
 	}
 	if r.longRunning() {
@@ -347,7 +347,7 @@
 		if !r.job.closed {
 			s.logEvent("run-failed", r.job.work.ID, r.worker.ID, "", map[string]int64{"run": int64(r.number), "took-ms": ms(took)})
 		}
-		r.job.steps[r.step].tasks[r.index].lastCountedRun = r.number
+		r.job.countFailure(r.step, r.index, r.number)
 		s.handleMemberEnd(r, outcome)
 		s.recordBadRun(r.worker, "run failed")
 		s.failTask(r.job, r.step, r.index, r.worker.ID)
