Give half-open workers a trial by time, whatever runs there

Cause: a half-open worker got no run while any run was there, and a task that lasts never ends. The failure of a job on several workers took its bad runs back but left the workers half-open. Related paths: a trial that lasts never ended either; a group whose workers are all half-open refused every best-effort job for good. Why it works: only trial runs count, and for no longer than the last ejection, so that the next trial comes by time alone; a lasting trial is good once it is at work; a job that fails everywhere readmits workers that were not ejected for slowness.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -109,7 +109,8 @@
 	return end
 }
 
-// freeCapacity returns when room for tasks of the given size becomes free on the workers that accept work.
+// freeCapacity returns when room for tasks of the given size becomes free on the workers that accept work. If there are none,
+// half-open ones have room for one task each, since only a run can readmit them.
 func (s *Scheduler) freeCapacity(service string, need worker.Resources) capacityHeap {
 	var capacity capacityHeap
 	for _, w := range s.sortedWorkers {
@@ -129,6 +130,13 @@
 			later--
 		}
 	}
+	if len(capacity) == 0 {
+		for _, w := range s.sortedWorkers {
+			if w.Service == service && s.acceptsWork(w) && need.FitsIn(w.free) {
+				capacity = append(capacity, 0)
+			}
+		}
+	}
 	heap.Init(&capacity)
 	return capacity
 }
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -326,7 +326,7 @@
 func (s *Scheduler) disrupted(js *jobState, i int) int {
 	disrupted := 0
 	for j := range js.steps[i].tasks {
-		if r := s.runs[js.name(i, j)]; r == nil || r.stopping || r.progress < 100 {
+		if r := s.runs[js.name(i, j)]; r == nil || r.stopping || r.progress < fullyRunning {
 			disrupted++
 		}
 	}
--- a/placement/health.go
+++ b/placement/health.go
@@ -11,7 +11,9 @@
 	badRuns      int     // consecutive bad runs
 	ejectedUntil time.Time
 	ejectionTime time.Duration
-	halfOpen     bool // the worker gets one run at a time until one is good
+	halfOpen     bool      // the worker gets one trial run at a time until a run is good
+	trialAt      time.Time // when the last trial run started
+	slow         bool      // it was last ejected since a run made little progress, which says nothing about the task
 
 	// Slow runs that have ended since the last run of usual speed, one for each job.
 	slowProduct float64 // product of their p-values
@@ -46,6 +48,8 @@
 	trialSignificance = 0.05
 	// usualPValue is the p-value from which on a run is of usual speed.
 	usualPValue = 0.2
+	// fullyRunning is the progress in percent of a long-running task that is at work.
+	fullyRunning = 100
 	// usualProgress is the progress in percent from which on a running run can be of usual speed.
 	usualProgress = 20
 )
@@ -82,16 +86,38 @@
 			continue
 		}
 		w.health.badRuns--
-		if w.health.badRuns < ejectionThreshold {
-			w.health.ejectedUntil, w.health.ejectionTime = s.now, 0
+		if w.health.badRuns < ejectionThreshold && !w.health.slow {
+			w.health.ejectedUntil, w.health.ejectionTime, w.health.halfOpen = s.now, 0, false
 		}
 	}
 }
 
+// readmit ends the ejections of a worker that has run a task well.
+func (s *Scheduler) readmit(w *workerState) {
+	if w.health.halfOpen {
+		s.logEvent("worker-readmitted", "", w.ID, "", map[string]int64{"bad-runs": int64(w.health.badRuns)})
+	}
+	w.health.badRuns, w.health.halfOpen, w.health.slow, w.health.ejectionTime = 0, false, false, 0
+}
+
+// acceptsTrial reports whether a half-open worker may get another trial run. It waits for the end of a trial run only for the
+// time of its last ejection, since tasks may last.
+func (s *Scheduler) acceptsTrial(w *workerState) bool {
+	if !s.now.Before(w.health.trialAt.Add(max(w.health.ejectionTime, s.rules.Quarantine))) {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.trial {
+			return false
+		}
+	}
+	return true
+}
+
 // recordGoodRun resets the bad runs of the worker and learns the run time.
 func (s *Scheduler) recordGoodRun(r *run, took time.Duration) {
+	s.readmit(r.worker)
 	h := &r.worker.health
-	h.badRuns, h.halfOpen, h.ejectionTime = 0, false, 0
 	if r.unmeasured {
 		return
 	}
@@ -128,6 +154,10 @@
 	if made := r.progress - r.baseProgress; made >= minProjectableProgress {
 		r.projected = (clock - r.baseClock) * time.Duration(100-r.baseProgress) / time.Duration(made)
 	}
+	if r.trial && r.longRunning() && r.progress >= fullyRunning {
+		r.trial = false
+		s.readmit(r.worker)
+	}
 	if r.stopping || r.longRunning() || s.now.Before(r.checkProgressAt) {
 		return
 	}
@@ -164,6 +194,7 @@
 	r.worker.health.badRuns++
 	r.worker.health.ejectionTime = max(r.worker.health.ejectionTime, s.rules.StallQuarantine/2)
 	s.eject(r.worker, "runs make little progress")
+	r.worker.health.slow = true
 	s.stopRun(r)
 }
 
--- a/placement/order.go
+++ b/placement/order.go
@@ -136,7 +136,7 @@
 	if !s.usable(w) || s.now.Before(w.health.ejectedUntil) {
 		return false
 	}
-	return !w.health.halfOpen || len(w.runs) == 0
+	return !w.health.halfOpen || s.acceptsTrial(w)
 }
 
 // chooseWorker returns the worker with the lowest cost for a task, or nil if no worker fits. It prefers workers that
--- a/placement/run.go
+++ b/placement/run.go
@@ -35,6 +35,7 @@
 	sender          SubmissionKey // submission whose VM sends the start; zero for the holder itself
 	stopping        bool
 	lastStopAt      time.Time // when the last stop order was sent
+	trial           bool      // the worker was half-open when the run started
 	unmeasured      bool      // no run time is learned: the run is adopted or its worker is slow
 }
 
@@ -56,6 +57,9 @@
 		need: js.work.Steps[i].Need, sent: s.now, expected: expected, sound: sound,
 	}
 	r.checkProgressAt = s.now.Add(time.Duration(float64(expected)*progressCheckFactor) + s.rules.StallGrace)
+	if w.health.halfOpen {
+		r.trial, w.health.trialAt = true, s.now
+	}
 	w.runs[r.taskName] = r
 	s.runs[r.taskName] = r
 	w.free = w.free.Sub(r.need)
