Move hanging runs of durable jobs more than twice

Cause: a run that reports progress but never ends was moved twice. On a third worker that hangs, its durable job waited for good. Evidence: TestHangingRunIsMovedMoreThanTwice fails on the code before (two moves in 20 s). Why it works: each move doubles the time after which the next one comes, so that a task that is only longer than expected still ends.

--- a/placement/health.go
+++ b/placement/health.go
@@ -41,6 +41,9 @@
 	minProjectableProgress = 5
 	// maxMoves limits how often one task is moved away from slow workers.
 	maxMoves = 2
+	// maxHangDoublings limits the run time of durable jobs after several moves: each move doubles it, since the task may be longer than
+	// expected.
+	maxHangDoublings = 8
 	// slowSignificance is the p-value below which slow runs are attributed to their worker: about one false alarm in
 	// 10,000 runs.
 	slowSignificance = 1e-4
@@ -177,15 +180,13 @@
 	slow := s.workerIsSlow(r) && total-elapsed >= sound+sound/4+s.rules.StallGrace
 	// A job with a deadline ends by it. A durable one would wait for ever for a run that reports progress but never
 	// ends.
-	hangs := r.job.durable && elapsed > hangFactor*s.maxExpectedDuration(r.job, r.step)+hangMargin
-	if !hangs && (!slow || r.job.isGang(r.step)) {
-		return
-	}
 	t := &r.job.steps[r.step].tasks[r.index]
-	values := map[string]int64{"elapsed-ms": ms(elapsed), "expected-ms": ms(sound), "progress": int64(r.progress), "run": int64(r.number)}
-	if t.moves >= maxMoves {
+	longest := (hangFactor*s.maxExpectedDuration(r.job, r.step) + hangMargin) << min(t.moves, maxHangDoublings)
+	hangs := r.job.durable && elapsed > longest
+	if !hangs && (!slow || r.job.isGang(r.step) || t.moves >= maxMoves) {
 		return
 	}
+	values := map[string]int64{"elapsed-ms": ms(elapsed), "expected-ms": ms(sound), "progress": int64(r.progress), "run": int64(r.number)}
 	t.moves++
 	t.avoidWorkers = append(t.avoidWorkers, r.worker.ID)
 	r.unmeasured = true
--- a/placement/readmission_test.go
+++ b/placement/readmission_test.go
@@ -83,3 +83,27 @@
 	is.Equal(n, 1)
 	is.True(!sg.scheduler.(*Scheduler).sortedWorkers[0].health.halfOpen)
 }
+
+// Guards against a durable job that waits for good on a third worker whose runs never end.
+func TestHangingRunIsMovedMoreThanTwice(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 16, 6)
+	sg.run(20 * time.Millisecond)
+	for _, w := range sg.workers {
+		w.noProgress = true
+	}
+	id := sg.storeJob(quote, 1)
+	sg.run(20 * time.Second)
+	moves := 0
+	for _, n := range sg.logs {
+		if n.Event == "run-moved" {
+			moves++
+		}
+	}
+	is.True(moves > maxMoves)
+	for _, w := range sg.workers {
+		w.noProgress = false // of new runs
+	}
+	sg.run(80 * time.Second)
+	is.Equal(sg.stored[id].state, DurableCompleted)
+}
