Transfer durable jobs that their group can't run to another group

Cause: a stored job was tied to the group chosen at its acceptance, whatever became of its workers: lost, draining or full. Why it works: the holder transfers a job only while it certainly has no run, starts nothing of it from the request on, and stores the transfer in two writes under its record, the first of which names the target. Whoever reads that starts nothing before a write of its own, so that a late write can't put a job into a group while another one runs it. Transferred jobs go only to holders that say they take them, since earlier versions would run them from the start. Scheduled jobs end, and are cancelled, with their occurrences in all groups.

--- a/gateway/driver.go
+++ b/gateway/driver.go
@@ -110,6 +110,8 @@
 		d.sendVerdict(e.Key, e.Verdict, d.loads())
 	case placement.PersistJob:
 		d.persister.enqueueWrite(e)
+	case placement.RequestTransfer:
+		d.persister.transfer(ctx, e)
 	case placement.ReadDurableJobs:
 		d.persister.requestRead()
 	case placement.FencedOff:
--- a/gateway/durable.go
+++ b/gateway/durable.go
@@ -46,6 +46,10 @@
 	Work      job.Work            `json:"work"`
 	Progress  *placement.Progress `json:"progress,omitempty"`
 	Next      int                 `json:"next,omitempty"` // number of occurrences of a scheduled job that have been stored
+	// TransferTo is the group to which the holder is about to transfer the job; a new holder starts nothing of it before it has
+	// written it again.
+	TransferTo string `json:"transfer-to,omitempty"`
+	Transfers  int    `json:"transfers,omitempty"` // how often the job was transferred without a run in between
 }
 
 // endedJob is the stored form of a durable job that has ended.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,8 @@
 	fenceLosses         map[string]fenceLoss     // by group
 	loads               map[string]map[string]placement.Load
 	longRunning         map[string][]string       // jobs with long-running tasks, by group
+	takesTransfers      map[string]bool           // by group, whether its holder takes transferred jobs
+	transferredAt       map[string]time.Time      // when this VM last transferred a job to a group
 	queued              map[string]map[string]int // jobs that have not started, by group and route
 	firstSeen           map[string]time.Time      // when a group was first seen, by group
 	newestConfig        int64                     // newest configuration revision reported by another VM
@@ -79,7 +81,7 @@
 	cache.clock = config.Clock
 	return &Gateway{
 		config: config, settings: config.Settings, log: log, self: self, started: time.Now(),
-		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(config.Clock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{},
+		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(config.Clock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{}, takesTransfers: map[string]bool{}, transferredAt: map[string]time.Time{},
 		cache: cache, meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, knownWorkers: map[uint64]int64{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
@@ -240,7 +242,7 @@
 				continue
 			}
 			loads := d.loads()
-			heartbeat.Holds = append(heartbeat.Holds, peer.Holding{Group: d.group, Fence: d.currentFence(), Loads: loads, Waiting: d.queuedJobs(), Lasting: d.longRunningJobs()})
+			heartbeat.Holds = append(heartbeat.Holds, peer.Holding{Group: d.group, Fence: d.currentFence(), Loads: loads, Waiting: d.queuedJobs(), Lasting: d.longRunningJobs(), TakesTransfers: true})
 			g.setLoads(d.group, loads)
 		}
 		digest := urgentDigest(heartbeat)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -224,6 +224,7 @@
 			g.loads[h.Group] = h.Loads
 			g.queued[h.Group] = h.Waiting
 			g.longRunning[h.Group] = h.Lasting
+			g.takesTransfers[h.Group] = h.TakesTransfers
 		}
 		changed := !maps.Equal(l.holds, before)
 		ownZone := false
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	startTime *metrics.Histogram
 	panics    *metrics.Counter
 	pauses    *metrics.Counter
+	transfers *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -34,6 +35,7 @@
 		withdrawn: set.NewCounter("samphireplank_jobs_withdrawn_total"),
 		panics:    set.NewCounter("samphireplank_panics_total"),
 		pauses:    set.NewCounter("samphireplank_pauses_total"),
+		transfers: set.NewCounter("samphireplank_jobs_transferred_total"),
 		startTime: set.NewHistogram("samphireplank_task_start_seconds"),
 	}
 }
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -40,16 +41,18 @@
 	g *Gateway
 	d *groupDriver
 
-	mu               sync.Mutex
-	restoredRevision int64                           // revision at which the jobs were read, 0 before that
-	deferredItems    []store.KeyValue                // received before the jobs were read
-	jobs             map[string]*storedJob           // by the scheduler's id
-	series           map[string]*storedJob           // scheduled jobs, which the scheduler does not have
-	ended            map[string]time.Time            // by key without its prefix
-	pendingWrites    map[string]placement.PersistJob // by the scheduler's id
-	readRequested    bool                            // the scheduler has ends of jobs that may have been stored since the jobs were read
-	wake             chan struct{}
-	interval         time.Duration // used by run only
+	mu                sync.Mutex
+	restoredRevision  int64                           // revision at which the jobs were read, 0 before that
+	deferredItems     []store.KeyValue                // received before the jobs were read
+	jobs              map[string]*storedJob           // by the scheduler's id
+	series            map[string]*storedJob           // scheduled jobs, which the scheduler does not have
+	ended             map[string]time.Time            // by key without its prefix
+	transferred       map[string]transferredJob       // likewise
+	occurrencesReadAt map[string]time.Time            // when the occurrences of a scheduled job were last read, likewise
+	pendingWrites     map[string]placement.PersistJob // by the scheduler's id
+	readRequested     bool                            // the scheduler has ends of jobs that may have been stored since the jobs were read
+	wake              chan struct{}
+	interval          time.Duration // used by run only
 }
 
 // storedJob is an open job with its revision in the store.
@@ -62,7 +65,7 @@
 func newJobPersister(g *Gateway, d *groupDriver) *jobPersister {
 	return &jobPersister{
 		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{},
-		pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
+		transferred: map[string]transferredJob{}, occurrencesReadAt: map[string]time.Time{}, pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
 	}
 }
 
@@ -188,6 +191,9 @@
 		return false
 	}
 	if open.Group != p.d.group {
+		if p.forgetTransferred(ctx, name, open.Group, item.Revision) {
+			p.g.forwardToHolder(open.Group, item)
+		}
 		return false
 	}
 	scheduled := open.Work.Schedule.Count > 0
@@ -197,12 +203,12 @@
 	}
 	p.mu.Lock()
 	known := jobs[id]
-	if _, ended := p.ended[name]; ended || known != nil && known.revision >= item.Revision {
+	if _, ended := p.ended[name]; ended || known != nil && known.revision >= item.Revision || item.Revision <= p.transferred[name].revision {
 		p.mu.Unlock()
 		return false
 	}
 	if known != nil {
-		known.revision, known.Cancelled = item.Revision, open.Cancelled
+		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
 	} else {
 		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
 	}
@@ -211,7 +217,7 @@
 	case scheduled:
 		p.wakeUp()
 	case known == nil:
-		p.submit(ctx, open, resumed)
+		p.submit(ctx, open, resumed || open.Progress != nil) // another group may have run it
 	}
 	if open.Cancelled && !scheduled {
 		p.d.apply(ctx, placement.CancelJob{Job: id})
@@ -224,6 +230,7 @@
 	age := time.Since(open.Accepted)
 	m := placement.Submit{
 		Work: open.Work, Policy: open.Policy, Age: min(max(age, -scheduleLead), time.Hour), StartDelay: max(-age, 0), Resumed: resumed, Durable: true,
+		Transfers: open.Transfers, TransferTo: open.TransferTo,
 	}
 	if open.Progress != nil {
 		m.Progress = *open.Progress
@@ -298,8 +305,9 @@
 func (p *jobPersister) writeBatch(ctx context.Context, batch []placement.PersistJob) {
 	t := store.Transaction{Conditions: []store.Condition{{Key: groupPrefix + p.d.group, Revision: p.holderRevision()}}}
 	var errs error
+	written := make([]openJob, len(batch)) // the jobs that stay open
 	p.mu.Lock()
-	for _, s := range batch {
+	for i, s := range batch {
 		j := p.jobs[s.Job]
 		if j == nil {
 			continue
@@ -312,9 +320,8 @@
 			t.Puts = append(t.Puts, store.KeyValue{Key: endedJobsPrefix + j.name, Value: value})
 			continue
 		}
-		next := j.openJob
-		next.Progress = &s.Progress
-		value, err := json.Marshal(next)
+		written[i] = nextOpenJob(j.openJob, s)
+		value, err := json.Marshal(written[i])
 		errs = errors.Join(errs, err)
 		t.Puts = append(t.Puts, store.KeyValue{Key: openJobsPrefix + j.name, Value: value})
 	}
@@ -329,8 +336,12 @@
 		p.d.confirmedAt.Store(int64(sent)) // the only writer
 		p.interval = max(p.interval-p.interval/8, minWriteInterval)
 		endedMessage := peer.Over{States: map[string]string{}}
-		for _, s := range batch {
+		for i, s := range batch {
 			name := p.keyName(s.Job)
+			if s.TransferTo != "" {
+				p.continueTransfer(ctx, s, name, written[i], revision)
+				continue
+			}
 			p.markPersisted(ctx, s, revision)
 			if s.State != placement.DurableOpen {
 				endedMessage.States[name] = string(durableStates[s.State])
@@ -373,7 +384,7 @@
 				Int64("age-ms", time.Since(j.Accepted).Milliseconds()).Send()
 		}
 	case j != nil:
-		j.revision = max(j.revision, revision)
+		j.revision, j.TransferTo = max(j.revision, revision), ""
 	}
 	p.mu.Unlock()
 	p.d.apply(ctx, placement.JobPersisted{Job: s.Job, Version: s.Version})
@@ -405,9 +416,12 @@
 	item, err := p.g.config.Store.Get(ctx, openJobsPrefix+p.keyName(s.Job))
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		// Only the holder ends a job, so this VM has ended it.
-		if s.State != placement.DurableOpen {
+		// Only the holder ends a job, so this VM has ended it, or has transferred it.
+		switch {
+		case s.State != placement.DurableOpen:
 			p.markPersisted(ctx, s, 0)
+		case s.TransferTo != "":
+			p.forgetTransferred(ctx, p.keyName(s.Job), s.TransferTo, math.MaxInt64)
 		}
 	case err == nil:
 		p.mu.Lock()
@@ -431,6 +445,11 @@
 			delete(p.ended, id)
 		}
 	}
+	for name, t := range p.transferred {
+		if time.Since(t.at) > endedIDRetention {
+			delete(p.transferred, name)
+		}
+	}
 	p.mu.Unlock()
 	if groups := p.g.groups(); len(groups) == 0 || p.d.group != slices.Min(groups) {
 		return // only the holder of the first group sweeps
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -148,8 +148,42 @@
 	return len(ids) > 0
 }
 
+// occurrencesCheckInterval is the interval between two reads of the occurrences of a scheduled job that other groups have.
+const occurrencesCheckInterval = 500 * time.Millisecond
+
+// hasOccurrencesElsewhere reports whether other groups have occurrences of a scheduled job that have not ended, or may have. It cancels
+// them if the job is cancelled.
+func (p *jobPersister) hasOccurrencesElsewhere(ctx context.Context, series storedJob) bool {
+	p.mu.Lock()
+	recent := time.Since(p.occurrencesReadAt[series.name]) < occurrencesCheckInterval
+	if !recent {
+		p.occurrencesReadAt[series.name] = time.Now()
+	}
+	p.mu.Unlock()
+	if recent {
+		return true
+	}
+	snapshot, err := p.g.config.Store.Range(ctx, openJobsPrefix+series.name+".")
+	if err != nil {
+		return true
+	}
+	for _, item := range snapshot.Items {
+		if !series.Cancelled {
+			break
+		}
+		name := trimOpenPrefix(item.Key)
+		if _, err := p.g.CancelDurable(ctx, name); err != nil {
+			p.g.log.Info().Str("event", "cancel").Str("job", name).Err(err).Msg("an occurrence was not cancelled; it will be retried")
+		}
+	}
+	return len(snapshot.Items) > 0
+}
+
 // endSeries stores the end of a scheduled job; the job has failed if one of its occurrences has.
 func (p *jobPersister) endSeries(ctx context.Context, series storedJob, state JobState) {
+	if p.hasOccurrencesElsewhere(ctx, series) {
+		return // the next check reads again
+	}
 	if state == JobCompleted {
 		snapshot, err := p.g.config.Store.Range(ctx, endedJobsPrefix+series.name+".")
 		if err != nil {
@@ -179,6 +213,7 @@
 	}
 	p.mu.Lock()
 	delete(p.series, series.name)
+	delete(p.occurrencesReadAt, series.name)
 	p.ended[series.name] = time.Now()
 	p.mu.Unlock()
 	p.g.endedJobs.put(series.name, state)
--- a/peer/message.go
+++ b/peer/message.go
@@ -30,6 +30,8 @@
 	Loads   map[string]placement.Load // by service
 	Waiting map[string]int            // number of jobs that have not started, by route
 	Lasting []string                  // ids of jobs with long-running tasks
+	// TakesTransfers means that the holder resumes durable jobs that another group has run. Earlier versions would run them from the start.
+	TakesTransfers bool
 }
 
 // Heartbeat shows that a VM is reachable and carries its state.
--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -73,6 +73,7 @@
 	f.worker.unknownRuns = max(f.worker.unknownRuns-1, 0)
 	f.worker.free = f.worker.free.Sub(r.need)
 	s.runs[name] = r
+	js.running++
 }
 
 // stopUnadopted stops the orphaned runs whose jobs no entry VM has resumed in time.
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -47,6 +47,7 @@
 	}
 	js := s.newJob(m)
 	js.durable, js.mayHaveStarted, js.started = true, false, m.Progress.known()
+	js.transfers, js.transferTo = m.Transfers, m.TransferTo
 	clear(js.keys)
 	s.durableJobs[js.work.ID], s.jobs[js.work.ID] = js, js
 	if m.Resumed || !s.durableRunsListed() {
@@ -227,7 +228,11 @@
 		js.persisting = true
 		progress := js.progress(nil, nil, s.now)
 		progress.On = nil
-		s.emit(PersistJob{Job: js.work.ID, Version: js.version, State: js.state, Progress: progress})
+		m := PersistJob{Job: js.work.ID, Version: js.version, State: js.state, Progress: progress}
+		if js.state == DurableOpen {
+			m.TransferTo, m.Transfers = js.transferTo, js.transfers
+		}
+		s.emit(m)
 	}
 	clear(s.unpersisted)
 	s.unpersisted = s.unpersisted[:0]
--- a/placement/durable_test.go
+++ b/placement/durable_test.go
@@ -48,8 +48,8 @@
 func (sg *simGroup) persist(p updater, e PersistJob) {
 	sg.after(time.Duration(3+sg.rand.IntN(sg.maxStoreDelay))*time.Millisecond, func() {
 		s := sg.stored[e.Job]
-		if p != sg.scheduler {
-			return
+		if p != sg.scheduler || e.TransferTo != "" {
+			return // the outcome of a transfer stays open
 		}
 		if s.state != DurableOpen {
 			sg.t.Fatalf("job %s is stored again after its end", e.Job)
--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -43,6 +43,11 @@
 	persistedVersion int       // latest version that is persisted
 	persisting       bool
 	pendingAcks      []pendingAck
+	running          int       // runs that may be running
+	waitingSince     time.Time // since when the job has waited with nothing running, zero if it does not
+	transferAskedAt  time.Time // when another group was last asked for
+	transferTo       string    // group to which the job is being transferred; it starts nothing meanwhile
+	transfers        int       // how often it was transferred without a run in between
 }
 
 type stepState struct {
--- a/placement/message.go
+++ b/placement/message.go
@@ -48,6 +48,8 @@
 	PermitUntil     time.Time     // initial permit of the connection, see Permits; zero if it needs none
 	Fence           int64         // highest fence of the holders of the group that may have acted on the job
 	Known           int64         // revision of the newest worker entry that the VM knows of, 0 if unknown
+	Transfers       int           // how often a durable job was transferred without a run in between
+	TransferTo      string        // group to which an earlier holder may still be transferring a durable job, empty if to none
 }
 
 // Progress is the known progress of a job that another holder has run.
@@ -130,6 +132,15 @@
 // CancelJob cancels a durable job.
 type CancelJob struct{ Job string }
 
+// TransferJob transfers a durable job that waits to another group.
+type TransferJob struct {
+	Job   string
+	Group string
+}
+
+// JobTransferred reports that the store has a durable job for another group.
+type JobTransferred struct{ Job string }
+
 // RestoreDone reports that all durable jobs that an earlier holder may have run have been submitted.
 type RestoreDone struct {
 	Since time.Time // when the read of the jobs began
@@ -168,6 +179,8 @@
 func (SenderDisconnected) message() {}
 func (JobPersisted) message()       {}
 func (CancelJob) message()          {}
+func (TransferJob) message()        {}
+func (JobTransferred) message()     {}
 func (RestoreDone) message()        {}
 func (DurableJobsRead) message()    {}
 func (Tick) message()               {}
@@ -195,12 +208,21 @@
 	Verdict Verdict
 }
 
-// PersistJob stores the state of a durable job and returns a JobPersisted. Later versions replace earlier ones.
+// PersistJob stores the state of a durable job and returns a JobPersisted, or a JobTransferred. Later versions replace earlier ones.
 type PersistJob struct {
-	Job      string
-	Version  int
-	State    DurableState
-	Progress Progress
+	Job        string
+	Version    int
+	State      DurableState
+	Progress   Progress
+	TransferTo string // group to which the job is transferred, empty if it stays
+	Transfers  int    // how often it was transferred, this one included, without a run in between
+}
+
+// RequestTransfer asks for another group for a durable job that waits. It returns a TransferJob if there is one.
+type RequestTransfer struct {
+	Job   string
+	Steps []bool // steps with tasks that are not done
+	Fits  bool   // listed workers of this group could run them
 }
 
 // ReadDurableJobs reads the durable jobs of the group and returns a DurableJobsRead.
@@ -225,6 +247,7 @@
 func (Reply) effect()           {}
 func (PersistJob) effect()      {}
 func (ReadDurableJobs) effect() {}
+func (RequestTransfer) effect() {}
 func (FencedOff) effect()       {}
 func (LogEvent) effect()        {}
 
--- a/placement/permit.go
+++ b/placement/permit.go
@@ -107,7 +107,7 @@
 // expires.
 func (s *Scheduler) mayStart(js *jobState) bool {
 	until, limited := s.permit(js)
-	return !js.durable || !limited || s.now.Before(until)
+	return !js.durable || js.transferTo == "" && (!limited || s.now.Before(until))
 }
 
 // mayUse reports whether the holder may start tasks of the job on a worker, or renew their leases, see DurablePermit. The VMs of
--- a/placement/rules.go
+++ b/placement/rules.go
@@ -25,6 +25,8 @@
 	StallGrace          time.Duration // added to the expected time before the progress of a run is checked
 	MaxRetryAfter       time.Duration // max time after which a refused caller may retry
 	MinRetryAfter       time.Duration // min time after which a refused caller may retry
+	TransferDelay       time.Duration // time for which a durable job waits before another group is asked for; doubles with each transfer
+	TransferInterval    time.Duration // between two requests for another group
 	MaxJobs             int           // jobs of the scheduler; more are refused
 }
 
@@ -52,6 +54,8 @@
 		StallGrace:          100 * time.Millisecond,
 		MaxRetryAfter:       5 * time.Second,
 		MinRetryAfter:       100 * time.Millisecond,
+		TransferDelay:       1500 * time.Millisecond,
+		TransferInterval:    500 * time.Millisecond,
 		MaxJobs:             20000,
 	}
 }
--- a/placement/run.go
+++ b/placement/run.go
@@ -62,6 +62,8 @@
 	}
 	w.runs[r.taskName] = r
 	s.runs[r.taskName] = r
+	js.running++
+	js.transfers = 0
 	w.free = w.free.Sub(r.need)
 	s.persistRunNumber(r)
 	if js.resumed {
@@ -296,6 +298,7 @@
 // removeRun removes a run that has certainly ended.
 func (s *Scheduler) removeRun(r *run) {
 	delete(r.worker.runs, r.taskName)
+	r.job.running--
 	if s.runs[r.taskName] == r {
 		delete(s.runs, r.taskName)
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -126,6 +126,10 @@
 		s.handleRestoreDone(m)
 	case DurableJobsRead:
 		s.handleJobsRead(m.Since)
+	case TransferJob:
+		s.transferJob(m)
+	case JobTransferred:
+		s.handleJobTransferred(m.Job)
 	case Tick:
 		s.tick(m)
 	case DurablePermit:
@@ -207,6 +211,7 @@
 	s.removeUnlisted()
 	s.drainWorkers()
 	s.stopUnadopted()
+	s.requestTransfers()
 }
 
 // stopFenced stops the scheduler after a worker or the VM of a job has reported a higher fence.
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -54,6 +54,7 @@
 
 	processes map[updater]*simProcess // of schedulers that may be stalled
 	onEffect  func(Effect)            // called before an effect of such a scheduler is executed
+	observe   []func(Effect)          // called before an effect is executed
 	twoRuns   func(task string)       // called when a task has two runs at a time, which fails the test if nil
 	permits   func() Permits          // permits for the next tick; may be nil
 	cutOff    map[updater]*simWorker  // worker that a scheduler can't reach
@@ -290,6 +291,9 @@
 }
 
 func (sg *simGroup) execute(p updater, e Effect) {
+	for _, f := range sg.observe {
+		f(e)
+	}
 	switch e := e.(type) {
 	case StartRun:
 		sg.sendStart(p, e)
