End the requests of a VM that is cut off

Cause: a VM that is cut off does not see that its callers leave and send their jobs elsewhere. After the cut it gave them to a holder again before it saw that, and a holder that still reached its workers let their runs go on all the while.

--- a/gateway/active_job.go
+++ b/gateway/active_job.go
@@ -4,13 +4,14 @@
 
 // activeJob is a job in progress at this VM.
 type activeJob struct {
-	id      string
-	route   string
-	ctx     context.Context // ends when all callers have left or the job is cancelled
-	cancel  context.CancelFunc
-	callers int           // requests that wait for the reply
-	done    chan struct{} // closed when the reply is known
-	reply   Reply
+	id       string
+	route    string
+	ctx      context.Context // ends when all callers have left or the job is cancelled
+	cancel   context.CancelFunc
+	isolated bool          // the VM was cut off, so that the callers may have left
+	callers  int           // requests that wait for the reply
+	done     chan struct{} // closed when the reply is known
+	reply    Reply
 }
 
 // enterJob adds a request to the job in progress with its id. It returns true if there is none, so that the caller runs
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	nextRequest      atomic.Uint64
 	commits          commitBatcher
 	pauseDetector    *pauseDetector
+	contact          contactMonitor
 	endedJobs        endedCache
 	queuedCounts     queuedCounter
 	partitionTriedAt time.Time // last attempt to write the zone partition; used by holdGroups only
@@ -79,7 +80,7 @@
 	log := config.Log.With().Str("vm", self.VM).Logger()
 	cache := newStoreCache(config.Decoder, log)
 	cache.clock = config.Clock
-	return &Gateway{
+	g := &Gateway{
 		config: config, settings: config.Settings, log: log, self: self, started: time.Now(),
 		commits: commitBatcher{keys: config.Store}, pauseDetector: newPauseDetector(config.Clock, time.Now), queued: map[string]map[string]int{}, longRunning: map[string][]string{}, takesTransfers: map[string]bool{}, transferredAt: map[string]time.Time{},
 		cache: cache, meter: newMeter(), tasks: &errgroup.Group{},
@@ -88,6 +89,10 @@
 		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
 		holdWake: make(chan struct{}, 1),
 	}
+	g.contact.clock, g.contact.outsideLimit = config.Clock, max(config.Settings.ClientRetryDelay-stopTime, minOutsideLimit)
+	g.config.Store, g.config.Workers = monitoredStore{config.Store, g}, monitoredWorkers{config.Workers, g}
+	g.commits.keys = g.config.Store
+	return g
 }
 
 // Run serves until ctx ends, and then until all requests and jobs in progress have ended or StopGrace is nearly over.
@@ -155,7 +160,7 @@
 
 // peerConfig returns the configuration of connections to other VMs.
 func (g *Gateway) peerConfig() peer.Config {
-	return peer.Config{Self: g.self, Traffic: g.config.Traffic, Clock: g.config.Clock, Dial: g.config.Dial}
+	return peer.Config{Self: g.self, Traffic: g.config.Traffic, Clock: g.config.Clock, Dial: g.config.Dial, OnReceive: g.noteContact}
 }
 
 // trafficInterval is the interval of log lines about traffic; each has one field per purpose, with both directions.
@@ -274,6 +279,7 @@
 			return
 		case <-ticker.C:
 			g.checkPause(ctx)
+			g.checkContact()
 			tick := g.tick()
 			for _, d := range g.allDrivers() {
 				d.apply(ctx, tick)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,33 +10,35 @@
 
 // meter holds the counters and histograms of a VM.
 type meter struct {
-	set       *metrics.Set
-	starts    *metrics.Counter
-	polls     *metrics.Counter
-	claims    *metrics.Counter
-	resumed   *metrics.Counter
-	moved     *metrics.Counter
-	withdrawn *metrics.Counter
-	startTime *metrics.Histogram
-	panics    *metrics.Counter
-	pauses    *metrics.Counter
-	transfers *metrics.Counter
+	set        *metrics.Set
+	starts     *metrics.Counter
+	polls      *metrics.Counter
+	claims     *metrics.Counter
+	resumed    *metrics.Counter
+	moved      *metrics.Counter
+	withdrawn  *metrics.Counter
+	startTime  *metrics.Histogram
+	panics     *metrics.Counter
+	pauses     *metrics.Counter
+	transfers  *metrics.Counter
+	isolations *metrics.Counter
 }
 
 func newMeter() *meter {
 	set := metrics.NewSet()
 	return &meter{
-		set:       set,
-		starts:    set.NewCounter("samphireplank_task_starts_total"),
-		polls:     set.NewCounter("samphireplank_worker_holds_total"),
-		claims:    set.NewCounter("samphireplank_claims_total"),
-		resumed:   set.NewCounter("samphireplank_jobs_resumed_total"),
-		moved:     set.NewCounter("samphireplank_jobs_moved_total"),
-		withdrawn: set.NewCounter("samphireplank_jobs_withdrawn_total"),
-		panics:    set.NewCounter("samphireplank_panics_total"),
-		pauses:    set.NewCounter("samphireplank_pauses_total"),
-		transfers: set.NewCounter("samphireplank_jobs_transferred_total"),
-		startTime: set.NewHistogram("samphireplank_task_start_seconds"),
+		set:        set,
+		starts:     set.NewCounter("samphireplank_task_starts_total"),
+		polls:      set.NewCounter("samphireplank_worker_holds_total"),
+		claims:     set.NewCounter("samphireplank_claims_total"),
+		resumed:    set.NewCounter("samphireplank_jobs_resumed_total"),
+		moved:      set.NewCounter("samphireplank_jobs_moved_total"),
+		withdrawn:  set.NewCounter("samphireplank_jobs_withdrawn_total"),
+		panics:     set.NewCounter("samphireplank_panics_total"),
+		pauses:     set.NewCounter("samphireplank_pauses_total"),
+		transfers:  set.NewCounter("samphireplank_jobs_transferred_total"),
+		isolations: set.NewCounter("samphireplank_isolations_total"),
+		startTime:  set.NewHistogram("samphireplank_task_start_seconds"),
 	}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -113,6 +113,7 @@
 // trackRequests counts the requests in progress and closes connections after their request while the VM stops.
 func (g *Gateway) trackRequests(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		g.noteContact()
 		g.requests.Add(1)
 		defer g.requests.Add(-1)
 		handler(ctx)
--- a/gateway/sim_fault_test.go
+++ b/gateway/sim_fault_test.go
@@ -405,6 +405,16 @@
 // cutOff cuts a VM off from everything. Its callers send their jobs again elsewhere; the VM sees that they have left callersLag
 // after the end of the cut, when their connections repeat it, or at once if that is negative.
 func (s *simulation) cutOff(m *simMachine, d, callersLag time.Duration) {
+	for _, w := range s.workers {
+		if p := m.process; p != nil && !p.dead {
+			s.cut(m.name, w.Address, 2, d)
+		}
+	}
+	s.cutOffOutside(m, d, callersLag)
+}
+
+// cutOffOutside cuts a VM off from everything but workers, see cutOff.
+func (s *simulation) cutOffOutside(m *simMachine, d, callersLag time.Duration) {
 	p := m.process
 	if p == nil || p.dead {
 		return
@@ -413,9 +423,6 @@
 	for _, o := range s.machines {
 		s.cut(m.name, o.name, 2, d)
 	}
-	for _, w := range s.workers {
-		s.cut(m.name, w.Address, 2, d)
-	}
 	s.store.faults[m.name] = simStoreFaultPeriod{storeSilent, later(p.cutOffUntil, time.Now().Add(d))}
 	p.cutOffUntil = later(p.cutOffUntil, time.Now().Add(d))
 	if callersLag >= 0 {
--- a/gateway/sim_test.go
+++ b/gateway/sim_test.go
@@ -113,14 +113,34 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newSimulation(t, seed)
 				s.durableShare = 0
-				s.playCutOff(2200*time.Millisecond, 300*time.Millisecond)
+				s.playCutOff(func() *simMachine { return s.machines[0] }, func(m *simMachine) { s.cutOff(m, 2200*time.Millisecond, 300*time.Millisecond) })
+			})
+		})
+	}
+}
+
+// Guards against a holder that still reaches its workers and lets the tasks of callers run who have left, which it can't see.
+func TestHolderCutOffFromCallersKeepsTheirRuns(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, seed)
+				s.durableShare = 0
+				s.playCutOff(func() *simMachine { return s.holderOf("a#0") }, func(m *simMachine) {
+					for _, o := range s.machines { // so that no VM of the zone takes its group
+						if o != m && o.zone == m.zone {
+							s.halt(o, true, time.Hour)
+						}
+					}
+					s.cutOffOutside(m, 2200*time.Millisecond, 300*time.Millisecond)
+				})
 			})
 		})
 	}
 }
 
 // playCutOff lets callers send jobs to one VM, which is then cut off.
-func (s *simulation) playCutOff(cut, callersLag time.Duration) {
+func (s *simulation) playCutOff(choose func() *simMachine, cut func(*simMachine)) {
 	s.mu.Lock()
 	for _, m := range s.machines {
 		s.start(m)
@@ -128,10 +148,13 @@
 	s.mu.Unlock()
 	time.Sleep(simWarmUp)
 	var callers errgroup.Group
+	s.mu.Lock()
+	m := choose()
+	s.mu.Unlock()
 	for range 12 {
 		s.mu.Lock()
 		j := s.newJob("a")
-		j.budget, j.firstVM, j.lengths, j.work.Steps = 6*time.Second, s.machines[0], []time.Duration{3 * time.Second}, j.work.Steps[:1]
+		j.budget, j.firstVM, j.lengths, j.work.Steps = 6*time.Second, m, []time.Duration{3 * time.Second}, j.work.Steps[:1]
 		j.work.Steps[0].Count, j.work.Steps[0].Estimate = 1, 3*time.Second
 		s.mu.Unlock()
 		callers.Go(func() error {
@@ -142,7 +165,7 @@
 	time.Sleep(20 * time.Millisecond)
 	s.mu.Lock()
 	s.ending = true // nobody leaves without a cause
-	s.cutOff(s.machines[0], cut, callersLag)
+	cut(m)
 	s.mu.Unlock()
 	s.end(&callers)
 }
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -81,6 +81,7 @@
 	if ctx.Err() != nil {
 		return CallerGone{}
 	}
+	g.noteContact()
 	a, first := g.enterJob(ctx, s)
 	defer context.AfterFunc(ctx, func() { g.leaveJob(a) })()
 	if !first {
@@ -91,12 +92,22 @@
 	r.deadline = r.arrived.Add(s.Budget - replyMargin)
 	r.lastRefusal = Refused{Reason: "no group of workers can be reached", RetryAfter: time.Second}
 	if r.pausesBefore, a.reply = g.checkWaited(a.ctx, s.Waited); a.reply == nil {
-		a.reply = r.withoutFalseRefusal(g.runToVerdict(a.ctx, r))
+		a.reply = g.unlessIsolated(a, r.withoutFalseRefusal(g.runToVerdict(a.ctx, r)))
 	}
 	g.logReply(r, a.reply)
 	return a.reply
 }
 
+// unlessIsolated returns the reply, or no verdict if the request was ended since the VM was cut off.
+func (g *Gateway) unlessIsolated(a *activeJob, reply Reply) Reply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, gone := reply.(CallerGone); gone && a.isolated {
+		return OutcomeUnknown{Reason: reasonIsolated}
+	}
+	return reply
+}
+
 func (g *Gateway) logReply(r *request, reply Reply) {
 	line := g.log.Info().Str("event", "answer").Str("job", r.Work.ID).Str("route", r.Policy.Route).Str("group", r.group).
 		Int64("took-ms", time.Since(r.arrived).Milliseconds()).Int64("budget-ms", r.Budget.Milliseconds()).Bool("resumed", r.resumed)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -34,6 +34,8 @@
 	// Clock returns a reading of the VM's clock, time of suspension included. Messages carry it, so that the other VM
 	// can return it; nil leaves the readings out.
 	Clock func() time.Duration
+	// OnReceive is called for received bytes before they are handled; it may be nil.
+	OnReceive func()
 	// Dial opens a connection to another VM; nil stands for TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/peer/pace.go
+++ b/peer/pace.go
@@ -118,5 +118,9 @@
 	r.c.mu.Lock()
 	r.c.extendReadDeadline()
 	r.c.mu.Unlock()
-	return r.c.conn.Read(b)
+	n, err := r.c.conn.Read(b)
+	if n > 0 && r.c.config.OnReceive != nil {
+		r.c.config.OnReceive()
+	}
+	return n, err
 }
