--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -17,6 +17,8 @@
 	// workersPerGroup is the size of a group that one VM with a fifth of a core can serve at the peak of the users' load,
 	// and that fits their widest jobs.
 	workersPerGroup = 24
+	// maxGroupsPerZone is the maximum number of groups of a zone that is accepted from the store: a hundred thousand workers.
+	maxGroupsPerZone = 4096
 	// workersStableTime is the time without a new worker after which the number of groups of a zone is fixed.
 	workersStableTime = 1500 * time.Millisecond
 )
--- a/gateway/store_cache.go
+++ b/gateway/store_cache.go
@@ -90,6 +90,7 @@
 	workers         map[string]worker.Worker
 	unlisted        map[string]unlistedWorker // by key
 	relisted        map[string]relistedWorker // by key
+	malformed       map[string]bool           // keys whose entries name no usable worker
 	newestWorker    int64                     // highest revision with which an entry of a worker may have been created
 	workerLog       workerChangeLog
 	vms             map[string]registration
@@ -107,7 +108,7 @@
 func newStoreCache(codec Decoder, log zerolog.Logger) *storeCache {
 	return &storeCache{
 		decoder: codec, log: log, clock: bootClock, prefixes: watchedPrefixes(codec),
-		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, relisted: map[string]relistedWorker{}, vms: map[string]registration{},
+		items: map[string]store.KeyValue{}, workers: map[string]worker.Worker{}, unlisted: map[string]unlistedWorker{}, relisted: map[string]relistedWorker{}, malformed: map[string]bool{}, vms: map[string]registration{},
 		holders: map[string]holderRecord{}, partitions: map[string]zonePartition{}, slots: map[string]string{}, changed: make(chan struct{}),
 	}
 }
@@ -292,11 +293,15 @@
 	case strings.HasPrefix(key, sc.decoder.WorkerPrefix()):
 		w, err := sc.decoder.DecodeWorker(key, item.Value)
 		if err != nil {
-			sc.log.Warn().Str("event", "worker-malformed").Str("key", key).Err(err).Msg("worker entry ignored: it names no usable worker")
+			if !sc.malformed[key] {
+				sc.malformed[key] = true
+				sc.log.Warn().Str("event", "worker-malformed").Str("key", key).Err(err).Int("malformed", len(sc.malformed)).Msg("worker entry ignored: it names no usable worker")
+			}
 			sc.workerLog.add(peer.WorkerChange{Key: key, Value: item.Value, Revision: item.Revision, Created: item.Created})
 			sc.unlistWorker(key, item.Created)
 			return
 		}
+		delete(sc.malformed, key)
 		before, known := sc.workers[key]
 		if !known {
 			sc.lastWorkerAdded = time.Now()
@@ -325,6 +330,10 @@
 			sc.log.Warn().Str("event", "shape-malformed").Str("key", key).Err(err).Msg("zone partition cannot be decoded")
 			return
 		}
+		if s.Groups < 1 || s.Groups > maxGroupsPerZone {
+			sc.log.Warn().Str("event", "shape-malformed").Str("key", key).Int("groups", s.Groups).Msg("zone partition ignored: its number of groups is out of range")
+			return
+		}
 		sc.partitions[strings.TrimPrefix(key, partitionPrefix)] = s
 	case strings.HasPrefix(key, groupPrefix):
 		var r claim.Record
@@ -358,6 +367,7 @@
 	delete(sc.items, key)
 	switch {
 	case strings.HasPrefix(key, sc.decoder.WorkerPrefix()):
+		delete(sc.malformed, key)
 		sc.workerLog.add(peer.WorkerChange{Key: key, Revision: revision, Removed: true})
 		sc.unlistWorker(key, added)
 	case strings.HasPrefix(key, vmPrefix):
--- a/gateway/store_cache_test.go
+++ b/gateway/store_cache_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strings"
@@ -109,3 +110,35 @@
 	is.NoErr(v.readAll(t.Context(), &scriptedStore{ranges: []store.Snapshot{{Revision: 55}}}, v.prefixes[0]))
 	is.Equal(v.holders["a#0"].VM, "v")
 }
+
+// Guards against one odd entry that hides other workers, or is logged with each of its changes.
+func TestOddEntryLeavesOtherWorkersListed(t *testing.T) {
+	is := is.New(t)
+	var lines bytes.Buffer
+	sc := newStoreCache(simDecoder{}, zerolog.New(&lines))
+	part := sc.workerPrefix()
+	deep := []byte(strings.Repeat("[", 200_000))
+	sc.replaceAll(part, 5, []store.KeyValue{
+		{Key: "workers/a", Value: []byte(`{"Address":"a:1"}`), Revision: 3},
+		{Key: "workers/b", Value: deep, Revision: 4},
+		{Key: "workers/c", Value: []byte(`{"Address":"c:1"}`), Revision: 5},
+	})
+	for revision := range int64(3) {
+		sc.applyEvent(part, store.Event{KeyValue: store.KeyValue{Key: "workers/b", Value: deep, Revision: 6 + revision}})
+	}
+	sc.applyEvent(part, store.Event{KeyValue: store.KeyValue{Key: "workers/c", Value: []byte(`{"Address":"c:2"}`), Revision: 9}})
+	is.Equal(len(sc.workers), 2)
+	is.Equal(sc.workers["workers/c"].Address, "c:2")
+	is.Equal(strings.Count(lines.String(), "worker-malformed"), 1)
+}
+
+// Guards against a number of groups that takes all memory.
+func TestOddPartitionIsIgnored(t *testing.T) {
+	is := is.New(t)
+	sc := newStoreCache(simDecoder{}, zerolog.Nop())
+	sc.applyItem(store.KeyValue{Key: partitionPrefix + "a", Value: []byte(`{"groups":2}`), Revision: 1})
+	sc.applyItem(store.KeyValue{Key: partitionPrefix + "a", Value: []byte(`{"groups":2000000000}`), Revision: 2})
+	sc.applyItem(store.KeyValue{Key: partitionPrefix + "b", Value: []byte(`{"groups":-1}`), Revision: 3})
+	is.Equal(sc.partitions["a"].Groups, 2)
+	is.Equal(sc.partitions["b"].Groups, 0)
+}
--- a/placement/ack_ledger.go
+++ b/placement/ack_ledger.go
@@ -1,18 +1,23 @@
 package placement
 
+import "math"
+
 // ackLedger records which ended runs of one incarnation of a worker may be acknowledged. A worker forgets an acknowledged end, so an
 // acknowledgement follows only once each end up to it is settled: its effect is stored, or it is known that nothing has to be stored.
 type ackLedger struct {
 	handled int64              // sequence of the last ended run that was processed
 	acked   int64              // last sequence that was acknowledged to the worker
-	settled int64              // no end up to this sequence is held
 	held    map[int64]struct{} // ends that must not be acknowledged yet
+	lowest  int64              // of the held ends, 0 if it has to be determined
 }
 
 func newAckLedger() ackLedger { return ackLedger{held: map[int64]struct{}{}} }
 
 // hold prevents the acknowledgement of an end until it is settled.
-func (l *ackLedger) hold(sequence int64) { l.held[sequence] = struct{}{} }
+func (l *ackLedger) hold(sequence int64) {
+	l.held[sequence] = struct{}{}
+	l.lowest = min(l.lowest, sequence)
+}
 
 func (l *ackLedger) isHeld(sequence int64) bool {
 	_, held := l.held[sequence]
@@ -20,17 +25,25 @@
 }
 
 // settle allows the acknowledgement of an end.
-func (l *ackLedger) settle(sequence int64) { delete(l.held, sequence) }
+func (l *ackLedger) settle(sequence int64) {
+	delete(l.held, sequence)
+	if sequence == l.lowest {
+		l.lowest = 0
+	}
+}
 
 // ackable returns the sequence of the last end that may be acknowledged.
 func (l *ackLedger) ackable() int64 {
 	if len(l.held) == 0 {
-		l.settled = l.handled
+		return l.handled
 	}
-	for l.settled < l.handled && !l.isHeld(l.settled+1) {
-		l.settled++
+	if l.lowest == 0 {
+		l.lowest = math.MaxInt64
+		for sequence := range l.held {
+			l.lowest = min(l.lowest, sequence)
+		}
 	}
-	return min(l.settled, l.handled)
+	return min(l.lowest-1, l.handled)
 }
 
 // unackable returns the number of listed ends that may not be acknowledged, since one of them is held.
