Hand groups over to another zone when the last VM of theirs leaves

Cause: a stopping VM offered its groups only to VMs of their zone while any of these was registered, and registrations stay. VMs of other zones wait 15 s after the loss of a holder. Related: after the restart of a holder, VMs of other zones counted these 15 s from when they first saw the group, and claimed it at once; and a group never returned to its zone. Evidence: TestZoneWithoutVMsIsHeldByAnotherZone fails on the code before, where the record still names the VM that has left. Why it works: the stopping VM offers its groups to connected VMs only, of its zone if there are any, otherwise of others; holders return groups of other zones to a VM of that zone once it has been connected for 3 s; the wait counts from the sight of the restart.

--- a/claim/balance.go
+++ b/claim/balance.go
@@ -43,5 +43,25 @@
 	return zone.OwnGroups[len(zone.OwnGroups)-1], best.Name
 }
 
+// PickReturn returns a group of another zone that this VM holds and a VM of that zone to which to hand it over: the candidate for it
+// that was connected long enough. Both results are empty if there is none.
+func PickReturn(self VM, held []GroupState, connectedFor map[string]time.Duration) (index int, to string) {
+	for i, s := range held {
+		if s.Zone == self.Zone {
+			continue
+		}
+		var ready []VM
+		for _, v := range s.VMs {
+			if v.Zone == s.Zone && !v.Stopping && connectedFor[v.Name] >= MinConnectedTime {
+				ready = append(ready, v)
+			}
+		}
+		if len(ready) > 0 {
+			return i, Candidates(s.Index, s.Zone, ready)[0].Name
+		}
+	}
+	return -1, ""
+}
+
 // minCPUShare replaces the processor share of a VM that reports none.
 const minCPUShare = 0.01
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -30,6 +30,7 @@
 	Record            Record
 	Revision          int64         // of the record, 0 if there is none
 	KnownFor          time.Duration // time since this VM first saw the group
+	HolderGoneFor     time.Duration // time since it first saw that the holder has restarted or is not registered
 	VMs               []VM          // all registered VMs
 	HandoverRequested bool          // the holder asked this VM to claim the group
 }
@@ -82,11 +83,11 @@
 	after, reason := time.Duration(0), "no holder"
 	silent := s.KnownFor
 	if s.Revision > 0 {
-		holder, registered := findVM(s.VMs, s.Record.VM)
-		if registered && holder.Incarnation <= s.Record.Incarnation {
-			after, reason, silent = rules.FailureTimeout, "the holder is unreachable", holder.SilentFor
+		if HolderGone(s.Record, s.VMs) {
+			reason, silent = "the holder has restarted or is not registered", s.HolderGoneFor
 		} else {
-			reason = "the holder has restarted or is not registered"
+			holder, _ := findVM(s.VMs, s.Record.VM)
+			after, reason, silent = rules.FailureTimeout, "the holder is unreachable", holder.SilentFor
 		}
 	}
 	rank, local := rankOf(s)
@@ -99,6 +100,12 @@
 	return Skip{}
 }
 
+// HolderGone reports whether the recorded holder has restarted or is not registered.
+func HolderGone(r Record, vms []VM) bool {
+	holder, registered := findVM(vms, r.VM)
+	return !registered || holder.Incarnation > r.Incarnation
+}
+
 func findVM(vms []VM, name string) (VM, bool) {
 	for _, v := range vms {
 		if v.Name == name {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -54,7 +54,8 @@
 		{"restarted holder", GroupState{Self: three[1], Record: held, Revision: 7, VMs: restarted}},
 		{"handover requested", GroupState{Self: three[2], Record: held, Revision: 7, VMs: three, HandoverRequested: true}},
 		{"handover requested while stopping", GroupState{Self: stopping, Record: held, Revision: 7, VMs: three, HandoverRequested: true}},
-		{"holder not registered", GroupState{Self: three[1], Record: Record{VM: "vm-0", Incarnation: 1}, Revision: 7, VMs: three, KnownFor: 200 * time.Millisecond}},
+		{"holder not registered", GroupState{Self: three[1], Record: Record{VM: "vm-0", Incarnation: 1}, Revision: 7, VMs: three, HolderGoneFor: 200 * time.Millisecond}},
+		{"restarted holder, other zone", GroupState{Self: three[3], Record: held, Revision: 7, VMs: restarted, KnownFor: time.Minute}},
 	}
 	var out strings.Builder
 	for _, c := range cases {
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -22,7 +22,7 @@
 		if g.stopping.Load() || g.cache.stale() {
 			continue
 		}
-		group, to := claim.PickRebalance(g.zoneLoad(time.Now()))
+		group, to, reason := g.pickHandover(time.Now())
 		if to == "" {
 			continue
 		}
@@ -34,12 +34,39 @@
 		}
 		g.mu.Unlock()
 		if c != nil {
-			g.log.Info().Str("event", "hand-over").Str("group", group).Str("to", to).Str("reason", "this VM holds more for its share").Send()
+			g.log.Info().Str("event", "hand-over").Str("group", group).Str("to", to).Str("reason", reason).Send()
 			c.Send(peer.TakeOver{Group: group})
 		}
 	}
 }
 
+// pickHandover returns a group to hand over, the VM that should receive it and the reason, or "" if there is none.
+func (g *Gateway) pickHandover(now time.Time) (group, to, reason string) {
+	if group, to = claim.PickRebalance(g.zoneLoad(now)); to != "" {
+		return group, to, "this VM holds more for its share"
+	}
+	var groups []string
+	var held []claim.GroupState
+	for _, d := range g.allDrivers() {
+		if zone, _ := splitGroup(d.group); zone != g.settings.Zone && !d.lostFence() && !d.unconfirmed() {
+			state, _ := g.groupState(d.group)
+			groups, held = append(groups, d.group), append(held, state)
+		}
+	}
+	connectedFor := map[string]time.Duration{}
+	g.mu.Lock()
+	for name, l := range g.links {
+		if l.conn != nil {
+			connectedFor[name] = now.Sub(l.upSince)
+		}
+	}
+	g.mu.Unlock()
+	if i, to := claim.PickReturn(claim.VM{Zone: g.settings.Zone}, held, connectedFor); to != "" {
+		return groups[i], to, "a VM of the group's zone is back"
+	}
+	return "", "", ""
+}
+
 // zoneLoad returns the input for the decision to hand a group over.
 func (g *Gateway) zoneLoad(now time.Time) claim.ZoneLoad {
 	b := claim.ZoneLoad{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	transferredAt       map[string]time.Time      // when this VM last transferred a job to a group
 	queued              map[string]map[string]int // jobs that have not started, by group and route
 	firstSeen           map[string]time.Time      // when a group was first seen, by group
+	holdersGone         map[string]goneHolder     // by group
 	newestConfig        int64                     // newest configuration revision reported by another VM
 	behindSince         time.Time                 // since when this VM's configuration is older, zero if it is not
 	lastCopyRequest     time.Time                 // when a copy was last requested
@@ -86,7 +87,7 @@
 		cache: cache, meter: newMeter(), tasks: &errgroup.Group{},
 		links: map[string]*peerLink{}, inbound: map[*peer.Conn]uint64{}, permits: placement.Permits{}, knownWorkers: map[uint64]int64{}, confirmations: map[string]peer.Confirmation{}, followers: map[*peer.Conn]int64{}, drivers: map[string]*groupDriver{},
 		pending: map[uint64]*pendingRequest{}, active: map[string]*activeJob{}, handoverOffers: map[string]handoverOffer{},
-		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{},
+		lastClaims: map[string]time.Time{}, fenceLosses: map[string]fenceLoss{}, loads: map[string]map[string]placement.Load{}, firstSeen: map[string]time.Time{}, holdersGone: map[string]goneHolder{},
 		holdWake: make(chan struct{}, 1),
 	}
 	g.contact.clock, g.contact.outsideLimit = config.Clock, max(config.Settings.ClientRetryDelay-stopTime, minOutsideLimit)
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -148,6 +148,15 @@
 	if _, ok := g.firstSeen[group]; !ok {
 		g.firstSeen[group] = now
 	}
+	if gone := g.holdersGone[group]; gone.record != record.revision {
+		g.holdersGone[group] = goneHolder{record: record.revision}
+	} else if gone.since.IsZero() && claim.HolderGone(record.Record, vms) {
+		g.holdersGone[group] = goneHolder{record: record.revision, since: now}
+	}
+	var goneFor time.Duration
+	if since := g.holdersGone[group].since; !since.IsZero() {
+		goneFor = now.Sub(since)
+	}
 	offer := g.handoverOffers[group]
 	offered := offer.vm != "" && now.Sub(offer.at) < handoverOfferTTL &&
 		(offer.vm == record.VM || g.links[offer.vm] != nil && g.links[offer.vm].holds[group] > record.revision*fencesPerRevision)
@@ -157,7 +166,7 @@
 	zone, index := splitGroup(group)
 	return claim.GroupState{
 		Index: index, Zone: zone, Self: self, Record: record.Record, Revision: record.revision,
-		KnownFor: now.Sub(g.firstSeen[group]), VMs: vms, HandoverRequested: offered,
+		KnownFor: now.Sub(g.firstSeen[group]), HolderGoneFor: goneFor, VMs: vms, HandoverRequested: offered,
 	}, record
 }
 
@@ -269,6 +278,12 @@
 	}
 }
 
+// goneHolder records since when a VM has seen that the recorded holder of a group has restarted or is not registered.
+type goneHolder struct {
+	record int64 // revision of the holder's record
+	since  time.Time
+}
+
 // handoverOffer records that a holder has asked this VM to take over a group.
 type handoverOffer struct {
 	vm string
@@ -357,19 +372,23 @@
 	}
 }
 
-// successor returns the connection to the next candidate for a group.
+// successor returns the connection to the next candidate for a group: a VM of its zone, or any other if none of these is left.
 func (g *Gateway) successor(group string, tried map[string]bool) *peer.Conn {
 	state, _ := g.groupState(group)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var connected []claim.VM
+	for _, v := range state.VMs {
+		if l := g.links[v.Name]; l != nil && l.conn != nil && !l.stopping {
+			connected = append(connected, v)
+		}
+	}
 	for range 2 {
-		for _, v := range claim.Candidates(state.Index, state.Zone, state.VMs) {
-			l := g.links[v.Name]
-			if l == nil || l.conn == nil || l.stopping || tried[group+v.Name] {
-				continue
+		for _, v := range claim.Candidates(state.Index, state.Zone, connected) {
+			if !tried[group+v.Name] {
+				tried[group+v.Name] = true
+				return g.links[v.Name].conn
 			}
-			tried[group+v.Name] = true
-			return l.conn
 		}
 		clear(tried)
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"samphireplank.example/samphireplank/peer"
@@ -45,10 +46,13 @@
 func (g *Gateway) maintainLinks(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := g.cache.nextChange()
+		zones := g.linkedZones()
 		g.cache.mu.Lock()
 		wanted := map[string]string{}
-		for _, name := range g.cache.peersInZone(g.settings.Zone) {
-			wanted[name] = g.cache.vms[name].Address
+		for _, zone := range zones {
+			for _, name := range g.cache.peersInZone(zone) {
+				wanted[name] = g.cache.vms[name].Address
+			}
 		}
 		for _, h := range g.cache.holders {
 			if r, ok := g.cache.vms[h.VM]; ok {
@@ -85,6 +89,18 @@
 	}
 }
 
+// linkedZones returns the zones to whose VMs this VM connects: its own, and those of the groups that it holds, so that it can return
+// them.
+func (g *Gateway) linkedZones() []string {
+	zones := []string{g.settings.Zone}
+	for _, d := range g.allDrivers() {
+		if zone, _ := splitGroup(d.group); !slices.Contains(zones, zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // askSeeds requests a copy of the store's keys from the seed VMs while the configuration is unknown.
 func (g *Gateway) askSeeds(ctx context.Context) {
 	if configuration, _ := g.cache.currentConfig(); configuration != nil {
--- a/gateway/sim_test.go
+++ b/gateway/sim_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/claim"
 )
 
 var (
@@ -169,3 +171,59 @@
 	s.mu.Unlock()
 	s.end(&callers)
 }
+
+// Guards against a group that has no holder for long after the planned removal of all VMs of its zone, and against one that stays
+// with a VM of another zone when one of its own is back.
+func TestZoneWithoutVMsIsHeldByAnotherZone(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { newSimulation(t, seed).playRemovedZone() })
+		})
+	}
+}
+
+// playRemovedZone removes the VMs of a zone one after the other, and starts one of them again later.
+func (s *simulation) playRemovedZone() {
+	s.claimRules = claim.DefaultRules()
+	s.mu.Lock()
+	var removed []*simMachine
+	for _, m := range s.machines {
+		if s.start(m); m.zone == "a" {
+			removed = append(removed, m)
+		}
+	}
+	s.mu.Unlock()
+	time.Sleep(simWarmUp)
+	for _, m := range removed {
+		s.mu.Lock()
+		s.stopPlanned(m, time.Hour)
+		s.mu.Unlock()
+		<-m.process.ended
+		time.Sleep(time.Second)
+	}
+	s.checkHolders("after the removal", func(m *simMachine) bool { return m.zone != "a" })
+	s.mu.Lock()
+	s.start(removed[0])
+	s.mu.Unlock()
+	time.Sleep(4*claim.RebalanceInterval + claim.MinConnectedTime)
+	s.checkHolders("after the return", func(m *simMachine) bool { return m == removed[0] })
+	s.mu.Lock()
+	s.ending = true
+	s.mu.Unlock()
+	s.end(&errgroup.Group{})
+}
+
+// checkHolders checks the recorded holders of the groups of zone a.
+func (s *simulation) checkHolders(when string, right func(*simMachine) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.groups {
+		group := groupName("a", i)
+		m := s.holderOf(group)
+		if m == nil {
+			s.fail("%s: group %s has no holder", when, group)
+		} else if !right(m) {
+			s.fail("%s: group %s is held by %s", when, group, m.name)
+		}
+	}
+}
