--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -111,7 +111,9 @@
 	g.holdUnconfirmed(g.ctx, "a#0")
 	before := g.driverOf("a#0").currentFence()
 	boot := bootClock() + time.Second
+	g.pauseDetector.mu.Lock() // its driver reads the clock
 	g.pauseDetector.boot = func() time.Duration { return boot }
+	g.pauseDetector.mu.Unlock()
 	g.checkPause(g.ctx)
 	is.True(g.driverOf("a#0") == nil)
 	g.holdUnconfirmed(g.ctx, "a#0")
