Resume all members of a gang from one checkpoint

Cause: each member was started with its own last checkpoint; a run whose members carry different ones does not begin. Evidence: TestGangResumesFromOneCheckpoint fails on the code before. Why it works: the checkpoint of any member is valid for the gang, so the last one saved is that of all.

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -40,16 +41,25 @@
 		}
 		return
 	}
-	number := 0
+	number, checkpoint := 0, ""
 	for _, t := range js.steps[i].tasks {
-		number = max(number, t.lastRun)
+		number, checkpoint = max(number, t.lastRun), cmp.Or(checkpoint, t.checkpoint)
 	}
+	js.shareCheckpoint(i, checkpoint)
 	for j := range js.steps[i].tasks {
 		js.steps[i].tasks[j].lastRun = number
 		s.startRun(js, i, j, assigned[j])
 	}
 }
 
+// shareCheckpoint sets the checkpoint from which all members of a gang resume. That of any member is valid for the gang, and a run
+// whose members resume from different ones does not begin.
+func (js *jobState) shareCheckpoint(i int, value string) {
+	for j := range js.steps[i].tasks {
+		js.steps[i].tasks[j].checkpoint = value
+	}
+}
+
 // stopGang stops the runs of a gang that cannot continue.
 func (s *Scheduler) stopGang(js *jobState, i int, reason string) {
 	stopped := 0
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -152,3 +152,42 @@
 		is.Equal(ran, number < bad.attempts)
 	}
 }
+
+// Guards against a gang that never begins, since its members resume from different checkpoints after one was lost.
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Fence: 256, Rules: DefaultRules()})
+	now := time.Unix(1_700_000_000, 0)
+	w := worker.Worker{ID: "w", Service: "cue", Address: "w:1", Zone: "a", Incarnation: 1, Capacity: worker.Resources{MilliCores: 64000, MemoryMiB: 1024}}
+	update := func(m Message) (starts []StartRun) {
+		for _, e := range s.Update(now, m) {
+			switch e := e.(type) {
+			case StartRun:
+				starts = append(starts, e)
+			case PollWorker:
+				if e.Order.Wait == 0 {
+					for _, next := range s.Update(now, PollResult{Order: e.Order, SentAt: now, Report: worker.Report{Clock: time.Hour, Incarnation: 1}}) {
+						if start, ok := next.(StartRun); ok {
+							starts = append(starts, start)
+						}
+					}
+				}
+			}
+		}
+		return starts
+	}
+	update(WorkerList{Workers: []worker.Worker{w}})
+	step := job.Step{Count: 3, Estimate: time.Second, Need: worker.Resources{MilliCores: 1000}, Gang: true, Checkpointing: true}
+	progress := Progress{
+		Done: [][]bool{{false, false, false}}, Failed: [][]int{{0, 0, 0}}, Counted: [][]int{{0, 0, 0}}, Runs: [][]int{{1, 1, 1}}, Checkpoints: [][]string{{"", "b", "c"}},
+	}
+	starts := update(Submit{Work: job.Work{ID: "00000000000000aa", Steps: []job.Step{step}}, Policy: job.Policy{Service: "cue", MaxAttempts: 3}, Durable: true, Resumed: true, Progress: progress})
+	for range 80 {
+		now = now.Add(50 * time.Millisecond)
+		starts = append(starts, update(Tick{})...)
+	}
+	is.True(len(starts) >= 3)
+	for _, start := range starts[:3] {
+		is.Equal(start.Order.Checkpoint, "b")
+	}
+}
--- a/placement/run.go
+++ b/placement/run.go
@@ -320,8 +320,12 @@
 
 // saveCheckpoint records where a task resumes if its run ends early.
 func (s *Scheduler) saveCheckpoint(r *run, value string) {
-	if value != "" && r.job.work.Steps[r.step].Checkpointing {
-		r.job.steps[r.step].tasks[r.index].checkpoint = value
+	if value == "" || !r.job.work.Steps[r.step].Checkpointing {
+		return
+	}
+	r.job.steps[r.step].tasks[r.index].checkpoint = value
+	if r.job.isGang(r.step) {
+		r.job.shareCheckpoint(r.step, value)
 	}
 }
 
