Start no labelled task on a worker whose entry is outdated

Cause: the holder went by the entry of the earlier incarnation, although responses showed that another one was there. Evidence: TestRestartedWorkerOfUnknownKindGetsNoLabelledTask fails on the code before. Why it works: such a worker takes tasks with a required label only once its entry names the incarnation that responds.

--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -221,3 +221,24 @@
 	_, again := find(d.update(Tick{Permits: permits}), func(s StartRun) bool { return s.Order.ID == "w2" })
 	is.True(again)
 }
+
+// Guards against a task that requires a label and starts on a worker that has restarted as one of another kind, whose entry is still
+// that of its earlier incarnation.
+func TestRestartedWorkerOfUnknownKindGetsNoLabelledTask(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 30, 1)
+	sg.run(20 * time.Millisecond)
+	w := sg.workers["w00"]
+	listed := w.Worker
+	sg.lists = func() WorkerList { return WorkerList{Workers: []worker.Worker{listed}} } // the store is away
+	sg.crash(w)
+	w.Labels = []string{"b", "r1"}
+	plain := sg.storeJob(quote, 1)
+	sg.run(2 * time.Second)
+	is.True(sg.started[plain]) // a task that requires no label shows the restart
+	labelled := sg.stored[plain].Work
+	labelled.ID, labelled.Steps[0].RequiredLabel = "00000000000000fd", "a"
+	sg.store(labelled, sg.stored[plain].Policy, quote.length)
+	sg.run(4 * time.Second)
+	is.True(!sg.started[labelled.ID])
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -116,7 +116,7 @@
 // allowed reports whether the step may run on the worker, apart from free resources and health.
 func (s *Scheduler) allowed(js *jobState, i int, w *workerState) bool {
 	spec := js.work.Steps[i]
-	if w.Service != js.policy.Service || spec.RequiredLabel != "" && !w.HasLabel(spec.RequiredLabel) {
+	if w.Service != js.policy.Service || spec.RequiredLabel != "" && (!w.HasLabel(spec.RequiredLabel) || w.entryOutdated()) {
 		return false
 	}
 	if spec.MaxPerWorker > 0 {
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -170,6 +170,12 @@
 	w.restarted = w.restarted || !listed
 }
 
+// entryOutdated reports whether the entry of a worker is that of another incarnation than the one that responds, which may be of
+// another kind.
+func (w *workerState) entryOutdated() bool {
+	return w.Incarnation != 0 && w.incarnation != 0 && w.Incarnation != w.incarnation
+}
+
 // workerRestarted handles a restart of a worker: all runs are lost except the one that its response confirms, if any. The
 // incarnation is 0 if it is not known yet.
 func (s *Scheduler) workerRestarted(w *workerState, born int64, confirmed *run) {
