Limit the reads of durable jobs for the sake of unknown ends

Each list with ends of unknown jobs asked for a read of the stored jobs at once after the last one; the interval is 100 ms now. The ends wait that long for their acknowledgement. Behaviour is otherwise the same (TestEndOfJobStoredAfterReadIsNotLost).

--- a/placement/durable.go
+++ b/placement/durable.go
@@ -95,7 +95,7 @@
 
 // handleJobsRead settles the ends of unknown jobs that were listed before a read of the durable jobs began.
 func (s *Scheduler) handleJobsRead(since time.Time) {
-	s.readingJobs = false
+	s.readingJobs, s.jobsReadAt = false, s.now
 	for _, id := range slices.Sorted(maps.Keys(s.deferredEnds)) {
 		ends := s.deferredEnds[id]
 		left := ends[:0]
@@ -131,9 +131,12 @@
 	}
 }
 
+// jobsReadInterval is the minimum time between two reads of the durable jobs for the sake of unknown ends.
+const jobsReadInterval = 100 * time.Millisecond
+
 // readUnknownJobs requests a read of the durable jobs while ends of unknown jobs wait for one.
 func (s *Scheduler) readUnknownJobs() {
-	if len(s.deferredEnds) > 0 && s.restored && !s.readingJobs {
+	if len(s.deferredEnds) > 0 && s.restored && !s.readingJobs && s.now.Sub(s.jobsReadAt) >= jobsReadInterval {
 		s.readingJobs = true
 		s.emit(ReadDurableJobs{})
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -54,6 +54,7 @@
 	unpersisted     []*jobState              // durable jobs with unpersisted changes
 	deferredEnds    map[string][]deferredEnd // by job
 	readingJobs     bool                     // a ReadDurableJobs has no result yet
+	jobsReadAt      time.Time                // when the durable jobs were last read
 	longRunningJobs map[string]bool          // reported by the earlier holder
 	restored        bool                     // all durable jobs of the group have been loaded
 	effects         []Effect
