Remember given up runs of best-effort jobs, whose ends need no storing

A worker that was silent lists ends of runs that this holder had given up. Those of best-effort jobs that are over were held until a read of the stored jobs, and cost polls meanwhile.

--- a/placement/durable.go
+++ b/placement/durable.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// lostRunMemory is how long a given up run of a best-effort job is remembered; a worker that comes back later costs a read of the jobs.
+const lostRunMemory = time.Minute
+
+// forgetLostRuns forgets the runs that were given up long ago.
+func (s *Scheduler) forgetLostRuns() {
+	for id, at := range s.lostBestEffort {
+		if s.now.Sub(at) > lostRunMemory {
+			delete(s.lostBestEffort, id)
+		}
+	}
+}
+
 // settleDeferred processes a deferred end. It is held again if it changes a durable job.
 func (s *Scheduler) settleDeferred(d deferredEnd) {
 	if d.worker.incarnation != d.incarnation {
@@ -177,8 +189,8 @@
 	if !ok || e.Outcome != worker.Done && e.Outcome != worker.Failed {
 		return // no job depends on it
 	}
-	if w.acks.isHeld(e.Sequence) {
-		return // listed again
+	if _, lost := s.lostBestEffort[id]; lost || w.acks.isHeld(e.Sequence) {
+		return // nothing has to be stored, or it is listed again
 	}
 	if s.jobs[id] == nil && s.durableJobs[id] == nil {
 		w.acks.hold(e.Sequence)
--- a/placement/run.go
+++ b/placement/run.go
@@ -308,6 +308,9 @@
 // loseRun gives up a run that has certainly ended with an unknown outcome.
 func (s *Scheduler) loseRun(r *run, reason string) {
 	s.removeRun(r)
+	if !r.job.durable {
+		s.lostBestEffort[r.job.work.ID] = s.now
+	}
 	if r.job.closed {
 		return
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -53,6 +53,7 @@
 	durableJobs     map[string]*jobState     // durable jobs until their end is persisted
 	unpersisted     []*jobState              // durable jobs with unpersisted changes
 	deferredEnds    map[string][]deferredEnd // by job
+	lostBestEffort  map[string]time.Time     // when a run of a best-effort job was last given up, by job; its end needs no storing
 	readingJobs     bool                     // a ReadDurableJobs has no result yet
 	jobsReadAt      time.Time                // when the durable jobs were last read
 	longRunningJobs map[string]bool          // reported by the earlier holder
@@ -77,6 +78,7 @@
 		durations:       map[string]*durationModel{},
 		durableJobs:     map[string]*jobState{},
 		deferredEnds:    map[string][]deferredEnd{},
+		lostBestEffort:  map[string]time.Time{},
 		restored:        !config.Restoring,
 		longRunningJobs: map[string]bool{},
 		permits:         Permits{},
@@ -213,6 +215,7 @@
 	s.drainWorkers()
 	s.stopUnadopted()
 	s.requestTransfers()
+	s.forgetLostRuns()
 }
 
 // stopFenced stops the scheduler after a worker or the VM of a job has reported a higher fence.
