--- a/placement/durable_test.go
+++ b/placement/durable_test.go
@@ -122,8 +122,8 @@
 		sg.logDecisions(id)
 		sg.t.Fatalf("%v: task %s started after its end was acknowledged", sg.now.Sub(sg.start), o.Task)
 	}
-	for _, number := range sg.completedRuns[o.Task] {
-		sg.repeatedRuns[worker.Run{Task: o.Task, Number: number}] = true
+	for _, ended := range sg.completedRuns[o.Task] {
+		sg.repeatedRuns[ended] = true
 	}
 	if sg.acknowledgedFailures[o.Task] >= s.Policy.MaxAttempts {
 		sg.t.Fatalf("task %s started after %d failed runs", o.Task, sg.acknowledgedFailures[o.Task])
@@ -139,7 +139,7 @@
 	}
 	switch e.Outcome {
 	case worker.Done:
-		if sg.repeatedRuns[e.Run] && e.Sequence > w.lapsedThrough && !sg.stored[id].Work.Steps[step].Lasting {
+		if sg.repeatedRuns[simEndedRun{e.Run, w, e.Sequence}] && e.Sequence > w.lapsedThrough && !sg.stored[id].Work.Steps[step].Lasting {
 			sg.logDecisions(id)
 			sg.t.Fatalf("%v: the end of task %s on %s is acknowledged, but the task has started again since", sg.now.Sub(sg.start), e.Task, w.ID)
 		}
--- a/placement/simgroup_test.go
+++ b/placement/simgroup_test.go
@@ -43,14 +43,14 @@
 	stored               map[string]*simStored
 	storedIDs            []string
 	gangs                map[string]*simGang
-	cancelled            map[string]bool     // cancelled durable jobs
-	withFaults           bool                // faults are simulated, so that long-running tasks may be stopped
-	maxStoreDelay        int                 // max time of a write in milliseconds
-	doneTasks            map[string]bool     // tasks with a completed run
-	acknowledged         map[string]bool     // tasks of durable jobs whose completion was acknowledged
-	acknowledgedFailures map[string]int      // acknowledged failed runs of tasks of durable jobs
-	completedRuns        map[string][]int    // numbers of completed runs, by task
-	repeatedRuns         map[worker.Run]bool // completed runs of durable jobs after whose end the task has started again
+	cancelled            map[string]bool          // cancelled durable jobs
+	withFaults           bool                     // faults are simulated, so that long-running tasks may be stopped
+	maxStoreDelay        int                      // max time of a write in milliseconds
+	doneTasks            map[string]bool          // tasks with a completed run
+	acknowledged         map[string]bool          // tasks of durable jobs whose completion was acknowledged
+	acknowledgedFailures map[string]int           // acknowledged failed runs of tasks of durable jobs
+	completedRuns        map[string][]simEndedRun // completed runs, by task
+	repeatedRuns         map[simEndedRun]bool     // completed runs of durable jobs after whose end the task has started again
 
 	processes map[updater]*simProcess // of schedulers that may be stalled
 	onEffect  func(Effect)            // called before an effect of such a scheduler is executed
@@ -66,6 +66,13 @@
 	LogEvent
 }
 
+// simEndedRun identifies an ended run. Runs of two holders may have the same number, on different workers.
+type simEndedRun struct {
+	worker.Run
+	on       *simWorker
+	sequence int64
+}
+
 // simClock is the simulated time and its events, which several groups may share.
 type simClock struct {
 	now    time.Time
@@ -184,7 +191,7 @@
 // newSimGroup returns workers of 64 and 96 cores under a new scheduler.
 func newSimGroup(t testing.TB, seed uint64, count int) *simGroup {
 	sg := &simGroup{
-		stored: map[string]*simStored{}, cancelled: map[string]bool{}, gangs: map[string]*simGang{}, maxStoreDelay: 5, doneTasks: map[string]bool{}, acknowledged: map[string]bool{}, acknowledgedFailures: map[string]int{}, completedRuns: map[string][]int{}, repeatedRuns: map[worker.Run]bool{},
+		stored: map[string]*simStored{}, cancelled: map[string]bool{}, gangs: map[string]*simGang{}, maxStoreDelay: 5, doneTasks: map[string]bool{}, acknowledged: map[string]bool{}, acknowledgedFailures: map[string]int{}, completedRuns: map[string][]simEndedRun{}, repeatedRuns: map[simEndedRun]bool{},
 		t: t, simClock: &simClock{now: time.Unix(1_700_000_000, 0)}, rand: rand.New(rand.NewPCG(seed, 1)),
 		workers: map[string]*simWorker{}, alive: map[string]int{}, started: map[string]bool{},
 		verdicts: map[SubmissionKey]Verdict{}, jobs: map[SubmissionKey]*simJob{}, knownJobs: map[string]*simJob{}, lostConns: map[uint64]bool{},
--- a/placement/simworker_test.go
+++ b/placement/simworker_test.go
@@ -130,7 +130,7 @@
 	}
 	if outcome == worker.Done {
 		sg.doneTasks[task] = true
-		sg.completedRuns[task] = append(sg.completedRuns[task], r.number)
+		sg.completedRuns[task] = append(sg.completedRuns[task], simEndedRun{worker.Run{Task: task, Number: r.number}, w, w.sequence})
 	}
 	w.ended = append(w.ended, worker.EndedRun{Sequence: w.sequence, Run: worker.Run{Task: task, Number: r.number}, Outcome: outcome})
 	if w.answerPoll != nil {
