Repeat lookups on a connection that its server was closing

Cause: a client may write a call before it learns that the server is closing the connection. A lookup or a request for state has no effect, so it is made once more; forwards and cancellations are still sent once.

--- a/link/client.go
+++ b/link/client.go
@@ -112,7 +112,7 @@
 
 // Lookup requests the answer of an id from its home.
 func (c *Client) Lookup(ctx context.Context, address string, r *linkpb.LookupRequest) (*linkpb.Answer, error) {
-	return send(ctx, address, "lookup", c.config.CallTimeout, c.peer(address).call.Lookup, r)
+	return sendRead(ctx, address, "lookup", c.config.CallTimeout, c.peer(address).call.Lookup, r)
 }
 
 // Cancel cancels the submission with an id at its home.
@@ -122,7 +122,18 @@
 
 // State requests parts of a peer's state.
 func (c *Client) State(ctx context.Context, address string, r *linkpb.StateRequest) (*linkpb.StateResponse, error) {
-	return send(ctx, address, "state", c.config.CallTimeout, c.peer(address).call.State, r)
+	return sendRead(ctx, address, "state", c.config.CallTimeout, c.peer(address).call.State, r)
+}
+
+// sendRead makes a call without effect on the peer. It makes it once more if the server was closing the connection when the call was
+// written, which the client may learn only afterwards.
+func sendRead[Q, A any](ctx context.Context, address, name string, timeout time.Duration, call func(context.Context, *Q) (*A, error), request *Q) (*A, error) {
+	answer, err := send(ctx, address, name, timeout, call, request)
+	var failed *Error
+	if errors.As(err, &failed) && failed.MaybeSent && connect.CodeOf(err) == connect.CodeUnavailable && ctx.Err() == nil {
+		return send(ctx, address, name, timeout, call, request)
+	}
+	return answer, err
 }
 
 // send makes one call within the timeout; its error says whether a connection was used for the call.
