--- a/gateway/sim_transfer_test.go
+++ b/gateway/sim_transfer_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"samphireplank.example/samphireplank/job"
 )
 
 var (
@@ -150,9 +152,19 @@
 	}
 }
 
-// roomFor returns a worker with room for a task of a job that is not done, "" if tasks that last leave none.
+// roomFor returns a worker with room for a task of a job whose turn has come, "" if tasks that last leave none.
 func (s *simulation) roomFor(open openJob) string {
 	done := s.jobs[open.Work.ID].done
+	ready := func(step job.Step) bool {
+		for _, earlier := range step.After {
+			for k := range open.Work.Steps[earlier].Count {
+				if !done[[2]int{earlier, k}] {
+					return false
+				}
+			}
+		}
+		return true
+	}
 	for _, w := range s.workers {
 		free := w.Capacity
 		for _, r := range w.runs {
@@ -160,7 +172,7 @@
 		}
 		for i, step := range open.Work.Steps {
 			for k := range step.Count {
-				if !done[[2]int{i, k}] && !w.down && !w.Draining && (step.RequiredLabel == "" || w.HasLabel(step.RequiredLabel)) && step.Need.FitsIn(free) {
+				if ready(step) && !done[[2]int{i, k}] && !w.down && !w.Draining && (step.RequiredLabel == "" || w.HasLabel(step.RequiredLabel)) && step.Need.FitsIn(free) {
 					return w.ID
 				}
 			}
