--- a/placement/durable_test.go
+++ b/placement/durable_test.go
@@ -441,54 +441,48 @@
 	}
 }
 
-// Guards against tasks that run twice because their ends stand behind the 500 that a worker lists at a time.
-func TestEndBehindCutListIsNotLost(t *testing.T) {
-	is := is.New(t)
-	sg := newSimGroup(t, 7, 1)
+// storeManyRuns returns a worker with more runs of durable jobs than it can list ends at a time.
+func storeManyRuns(t *testing.T) (sg *simGroup, w *simWorker) {
+	sg = newSimGroup(t, 7, 1)
 	sg.run(20 * time.Millisecond)
-	long := grain
-	long.cores = 60
-	var ids []string
+	small := grain
+	small.cores = 60
 	for range 8 {
-		ids = append(ids, sg.storeJob(long, 100))
+		sg.storeJob(small, 100)
 	}
 	sg.run(400 * time.Millisecond)
-	w := sg.workers["w00"]
-	is.True(len(w.runs) > 600)
-	w.unreachable = true
+	w = sg.workers["w00"]
+	if len(w.runs) <= 600 {
+		t.Fatalf("%d runs are too few", len(w.runs))
+	}
+	return sg, w
+}
+
+// endAll ends all runs of a worker as done.
+func (sg *simGroup) endAll(w *simWorker) {
 	for task := range w.runs {
 		sg.endRun(w, task, worker.Done)
 	}
+}
+
+// Guards against tasks that run twice because their ends stand behind the 500 that a worker lists at a time.
+func TestEndBehindCutListIsNotLost(t *testing.T) {
+	sg, w := storeManyRuns(t)
+	w.unreachable = true
+	sg.endAll(w)
 	sg.run(900 * time.Millisecond) // less than the lease
 	w.unreachable = false
 	sg.run(9 * time.Second)
-	for _, id := range ids {
-		is.Equal(sg.stored[id].state, DurableCompleted)
-	}
+	sg.checkStored()
 }
 
 // Guards against tasks that a new holder runs again because their ends stand behind the 500 that a worker lists at a time.
 func TestEndBehindCutListIsNotLostByNextHolder(t *testing.T) {
-	is := is.New(t)
-	sg := newSimGroup(t, 7, 1)
-	sg.run(20 * time.Millisecond)
-	long := grain
-	long.cores = 60
-	var ids []string
-	for range 8 {
-		ids = append(ids, sg.storeJob(long, 100))
-	}
-	sg.run(400 * time.Millisecond)
-	w := sg.workers["w00"]
-	is.True(len(w.runs) > 600)
+	sg, w := storeManyRuns(t)
 	sg.replaceScheduler()
-	for task := range w.runs {
-		sg.endRun(w, task, worker.Done)
-	}
+	sg.endAll(w)
 	sg.run(9 * time.Second)
-	for _, id := range ids {
-		is.Equal(sg.stored[id].state, DurableCompleted)
-	}
+	sg.checkStored()
 }
 
 // Guards against a holder without the store that acknowledges ends of durable jobs which it has never read.
