--- a/claim/balance.go
+++ b/claim/balance.go
@@ -44,7 +44,7 @@
 }
 
 // PickReturn returns a group of another zone that this VM holds and a VM of that zone to which to hand it over: the candidate for it
-// that was connected long enough. Both results are empty if there is none.
+// that was connected long enough. The index is -1 if there is none.
 func PickReturn(self VM, held []GroupState, connectedFor map[string]time.Duration) (index int, to string) {
 	for i, s := range held {
 		if s.Zone == self.Zone {
