Transfer no job while its holder may start nothing

Cause: a durable job also waits while the store is away and its holder's permit has ended. It asked for another group then, was frozen, and moved once the store was back, although its own group could have run it at once. Evidence: TestNoTransferWhileHolderMayStartNothing fails without the change. Why it works: a job waits for a worker only while its holder may start its tasks.

--- a/placement/transfer.go
+++ b/placement/transfer.go
@@ -73,8 +73,12 @@
 	return 0
 }
 
-// waitsForWorker reports whether a durable job has queued tasks and no run that this scheduler knows of.
+// waitsForWorker reports whether a durable job has queued tasks and no run that this scheduler knows of, although the holder may start
+// some.
 func (s *Scheduler) waitsForWorker(js *jobState) bool {
+	if js.transferTo == "" && !s.mayStart(js) {
+		return false // while the store is away, no group may start them
+	}
 	return !js.closed && js.running == 0 && js.queuedTasks > 0 && s.restored && (!s.now.Before(js.startAt) || !s.fitsListedWorkers(js, 0))
 }
 
--- a/placement/transfer_test.go
+++ b/placement/transfer_test.go
@@ -92,3 +92,20 @@
 	is.Equal(len(*saves), 1)
 	is.Equal((*saves)[0].TransferTo, "other")
 }
+
+// Guards against jobs that move to another group since their holder may start nothing while the store is away.
+func TestNoTransferWhileHolderMayStartNothing(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 23, 2)
+	requests := watchEffects[RequestTransfer](sg)
+	sg.run(20 * time.Millisecond)
+	sg.step(sg.scheduler, DurablePermit{Until: sg.now, Evidence: sg.now.Add(-time.Second)})
+	id := sg.storeJob(quote, 2)
+	sg.run(5 * time.Second)
+	is.True(!sg.started[id])
+	is.Equal(len(*requests), 0)
+	sg.step(sg.scheduler, DurablePermit{Until: sg.now.Add(time.Minute), Evidence: sg.now})
+	sg.run(7 * time.Second)
+	is.Equal(sg.stored[id].state, DurableCompleted)
+	is.Equal(len(*requests), 0)
+}
