Count a failed run once across a hand-over

Cause: the next holder had read a worker before a run failed there, adopted the run with the job, and counted the failure that the former holder had counted and reported. Evidence: TestFailureIsCountedOnceAcrossHandOver fails on the code before. Why it works: the progress has the numbers of the counted runs, and a run with one of them does not count again.

--- a/placement/handover_test.go
+++ b/placement/handover_test.go
@@ -122,3 +122,30 @@
 	sg.run(1400 * time.Millisecond)
 	is.Equal(sg.alive["00000000000000aa.0.0.0"], 1)
 }
+
+// Guards against a job that is answered as failed too early: its former holder has counted a failed run that the next one has read as
+// running.
+func TestFailureIsCountedOnceAcrossHandOver(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 40, 1)
+	sg.run(20 * time.Millisecond)
+	once := quote
+	once.attempts, once.width, once.length = 2, 1, 300*time.Millisecond
+	key := sg.submit(once)
+	j := sg.jobs[key]
+	task := job.TaskName(j.work.ID, 0, 0)
+	w := sg.workers["w00"]
+	sg.run(100 * time.Millisecond)
+	is.True(w.runs[task] != nil)
+	sg.replaceScheduler()
+	sg.run(102 * time.Millisecond) // the next holder has read the worker
+	sg.endRun(w, task, worker.Failed)
+	delete(sg.jobs, key)
+	again := SubmissionKey{Sequence: key.Sequence + 1_000_000}
+	sg.submitWork(again, j.work, once, 50*time.Millisecond, true, Progress{
+		Done: [][]bool{{false}}, Failed: [][]int{{1}}, Counted: [][]int{{1}}, FailedRuns: [][][]int{{{1}}}, Runs: [][]int{{1}}, On: [][]string{{""}}, Checkpoints: [][]string{{""}},
+	})
+	sg.run(3 * time.Second)
+	_, completed := sg.verdicts[again].(Completed)
+	is.True(completed)
+}
--- a/placement/run.go
+++ b/placement/run.go
@@ -341,8 +341,8 @@
 	r.job.started = true
 	s.saveCheckpoint(r, e.Checkpoint)
 	outcome := e.Outcome
-	if outcome == worker.Failed && r.job.isGang(r.step) && r.job.steps[r.step].tasks[r.index].hasCounted(r.number) {
-		outcome = worker.GangBroken // the failure of this gang run is already counted
+	if outcome == worker.Failed && r.job.steps[r.step].tasks[r.index].hasCounted(r.number) {
+		outcome = worker.GangBroken // counted with another member of its gang, or by the holder before
 	}
 	if r.longRunning() {
 		outcome = worker.Stopped // a long-running task is restarted however it ends
