Ask for another group for all waiting jobs in turn

Callers saw nothing; found while the transfers were read again. Cause: the requests of a tick went to the waiting jobs of the highest rank. Behind 80 that no group could run, or whose time to ask had not come, others never asked. Evidence: TestManyStrandedJobsAllRequestAnotherGroup (200 jobs) fails without the change. Why it works: the job asked for longest ago comes first.

--- a/placement/job_state.go
+++ b/placement/job_state.go
@@ -45,7 +45,8 @@
 	pendingAcks      []pendingAck
 	running          int       // runs that may be running
 	waitingSince     time.Time // since when the job has waited with nothing running, zero if it does not
-	transferAskedAt  time.Time // when another group was last asked for
+	transferAskedAt  time.Time // when another group was last asked for, or it was too early to ask
+	waitLogged       bool      // this wait was logged
 	transferTo       string    // group to which the job is being transferred; it starts nothing meanwhile
 	transfers        int       // how often it was transferred without a run in between
 }
--- a/placement/transfer.go
+++ b/placement/transfer.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,8 @@
 // nothing of it from the request to store the transfer on, and forgets it once the transfer is stored. Whether a write whose outcome is
 // unknown has taken effect is read from the store before anything else is done with the job.
 
-// requestTransfers requests another group for durable jobs that have waited with nothing running, in the order of their rank.
+// requestTransfers requests another group for durable jobs that have waited with nothing running, those first that were asked for
+// longest ago, so that jobs which no group can run don't hold up others.
 func (s *Scheduler) requestTransfers() {
 	var waiting []*jobState
 	for _, js := range s.durableJobs {
@@ -20,16 +22,17 @@
 		}
 		if js.waitingSince.IsZero() {
 			js.waitingSince = s.now
-			js.transferAskedAt = time.Time{}
+			js.transferAskedAt, js.waitLogged = time.Time{}, false
 		}
 		if s.now.Sub(js.waitingSince) >= s.rules.TransferDelay && s.now.Sub(js.transferAskedAt) >= s.rules.TransferInterval {
 			waiting = append(waiting, js)
 		}
 	}
-	sort.Slice(waiting, func(i, j int) bool {
-		return waiting[i].rank < waiting[j].rank || waiting[i].rank == waiting[j].rank && waiting[i].work.ID < waiting[j].work.ID
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(a.transferAskedAt.Compare(b.transferAskedAt), cmp.Compare(a.rank, b.rank), cmp.Compare(a.work.ID, b.work.ID))
 	})
 	for _, js := range waiting[:min(len(waiting), maxTransferRequests)] {
+		js.transferAskedAt = s.now
 		s.requestTransfer(js)
 	}
 }
@@ -52,10 +55,10 @@
 	if js.transferTo == "" && s.now.Sub(js.waitingSince) < delay || !s.certainlyIdle(js) {
 		return
 	}
-	if js.transferAskedAt.IsZero() {
+	if !js.waitLogged {
+		js.waitLogged = true
 		s.logEvent("job-waits", js.work.ID, "", "nothing of the job runs", map[string]int64{"waiting-ms": ms(s.now.Sub(js.waitingSince)), "workers-fit": boolValue(fits)})
 	}
-	js.transferAskedAt = s.now
 	if js.transferTo != "" {
 		s.storeTransfer(js)
 		return
--- a/placement/transfer_test.go
+++ b/placement/transfer_test.go
@@ -1,11 +1,13 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/worker"
 )
 
@@ -109,3 +111,27 @@
 	is.Equal(sg.stored[id].state, DurableCompleted)
 	is.Equal(len(*requests), 0)
 }
+
+// Guards against jobs that never ask for another group behind many that no group can run.
+func TestManyStrandedJobsAllRequestAnotherGroup(t *testing.T) {
+	is := is.New(t)
+	sg := newSimGroup(t, 24, 1)
+	requests := watchEffects[RequestTransfer](sg)
+	sg.run(20 * time.Millisecond)
+	first := sg.storeJob(quote, 1)
+	sg.run(2 * time.Second)
+	const jobs = 200
+	for i := range jobs {
+		labelled := sg.stored[first].Work
+		labelled.ID = fmt.Sprintf("%016x", 1<<40+i)
+		labelled.Steps = []job.Step{labelled.Steps[0]}
+		labelled.Steps[0].RequiredLabel = "nowhere"
+		sg.store(labelled, sg.stored[first].Policy, quote.length)
+	}
+	sg.run(9 * time.Second)
+	asked := map[string]bool{}
+	for _, r := range *requests {
+		asked[r.Job] = true
+	}
+	is.Equal(len(asked), jobs)
+}
