--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -190,3 +190,13 @@
 func (w monitoredWorkers) Poll(ctx context.Context, order worker.PollOrder) (worker.Report, error) {
 	return w.note(w.Client.Poll(ctx, order))
 }
+
+// unlessIsolated returns the reply, or no verdict if the request was ended since the VM was cut off.
+func (g *Gateway) unlessIsolated(a *activeJob, reply Reply) Reply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, gone := reply.(CallerGone); gone && a.isolated {
+		return OutcomeUnknown{Reason: reasonIsolated}
+	}
+	return reply
+}
--- a/gateway/submission.go
+++ b/gateway/submission.go
@@ -98,16 +98,6 @@
 	return a.reply
 }
 
-// unlessIsolated returns the reply, or no verdict if the request was ended since the VM was cut off.
-func (g *Gateway) unlessIsolated(a *activeJob, reply Reply) Reply {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, gone := reply.(CallerGone); gone && a.isolated {
-		return OutcomeUnknown{Reason: reasonIsolated}
-	}
-	return reply
-}
-
 func (g *Gateway) logReply(r *request, reply Reply) {
 	line := g.log.Info().Str("event", "answer").Str("job", r.Work.ID).Str("route", r.Policy.Route).Str("group", r.group).
 		Int64("took-ms", time.Since(r.arrived).Milliseconds()).Int64("budget-ms", r.Budget.Milliseconds()).Bool("resumed", r.resumed)
--- a/placement/worker_state.go
+++ b/placement/worker_state.go
@@ -344,20 +344,6 @@
 	s.reconcileRunning(w, m)
 }
 
-// logHeldAcks logs when a worker gets no more tasks because its ends may not be acknowledged, and when it does again.
-func (s *Scheduler) logHeldAcks(w *workerState) {
-	full := w.acks.unackable() >= maxUnackable
-	if full == w.acksFull {
-		return
-	}
-	w.acksFull = full
-	event, reason := "acks-released", ""
-	if full {
-		event, reason = "acks-held", "too many ends of the worker wait for the store"
-	}
-	s.logEvent(event, "", w.ID, reason, map[string]int64{"unackable": w.acks.unackable(), "unknown-jobs": int64(len(s.deferredEnds)), "durable-jobs": int64(len(s.durableJobs))})
-}
-
 func (s *Scheduler) handlePollError(w *workerState, order worker.PollOrder, err error) {
 	if reason, ok := worker.RejectionReason(err); ok {
 		switch reason {
