--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,7 @@
 	run  func(c *cluster, trouble bool) (outcome, error)
 }{
 	"lasting": {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
+	"gang":    {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
 }
 
 func main() {
