--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,8 +21,9 @@
 	size clusterConfig
 	run  func(c *cluster, trouble bool) (outcome, error)
 }{
-	"lasting": {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
-	"gang":    {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
+	"lasting":   {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
+	"cancelled": {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, cancelledOccurrence},
+	"gang":      {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
 }
 
 func main() {
