review: case 6, occurrences that ended done run again

The store goes down while the holders write the next occurrences of scheduled jobs, so that the answer of one write of each holder is lost. The holder repeats the write without a conflict, since it has taken over the new revision of the scheduled job but not the number of stored occurrences. Where the occurrence had ended, its key is created anew, and the next holder runs it again.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-rig -case occurrences -record review/6/record.txt
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,10 +21,11 @@
 	size clusterConfig
 	run  func(c *cluster, trouble bool) (outcome, error)
 }{
-	"lasting":   {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
-	"many":      {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, manyJobs},
-	"cancelled": {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, cancelledOccurrence},
-	"gang":      {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
+	"lasting":     {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
+	"many":        {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, manyJobs},
+	"occurrences": {clusterConfig{Zones: 3, VMs: 2, Executors: 4, Attempts: 3}, repeatedOccurrence},
+	"cancelled":   {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, cancelledOccurrence},
+	"gang":        {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
 }
 
 func main() {
