--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,10 +22,14 @@
 	run  func(c *cluster, trouble bool) (outcome, error)
 }{
 	"lasting":     {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lastingTask},
+	"zone":        {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, lostZone},
+	"waiting":     {clusterConfig{Zones: 2, VMs: 2, Executors: 8, Attempts: 3}, waitingCount},
+	"series":      {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3, StatusS: 20}, failedOccurrence},
 	"many":        {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, manyJobs},
 	"occurrences": {clusterConfig{Zones: 3, VMs: 2, Executors: 4, Attempts: 3}, repeatedOccurrence},
 	"cancelled":   {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, cancelledOccurrence},
 	"gang":        {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
+	"random":      {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, randomFaults},
 }
 
 func main() {
