--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -183,7 +183,7 @@
 }
 
 func (c *cluster) addExecutor(id, zone, kind string) (*executor, error) {
-	e, l, err := newExecutor(c.w, id, zone, []string{kind, "r-" + zone}, executorCores)
+	e, l, err := newExecutor(c.w, id, zone, []string{kind, kind + "-" + zone, "r-" + zone}, executorCores)
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"many":        {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, manyJobs},
 	"occurrences": {clusterConfig{Zones: 3, VMs: 2, Executors: 4, Attempts: 3}, repeatedOccurrence},
 	"cancelled":   {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, cancelledOccurrence},
+	"label":       {clusterConfig{Zones: 4, VMs: 2, Executors: 6, Attempts: 3}, labelElsewhere},
 	"gang":        {clusterConfig{Zones: 3, VMs: 2, Executors: 8, Attempts: 3}, wideGang},
 	"random":      {clusterConfig{Zones: 2, VMs: 2, Executors: 4, Attempts: 3}, randomFaults},
 }
