Split the construction of a group's driver from its start

Tests that force an order of events need a persister whose loop does not run. startDriver builds the driver with newDriver now; only lines were moved. The tests of gateway pass.

--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -304,6 +304,18 @@
 const fenceLossWait = time.Second
 
 func (g *Gateway) startDriver(ctx context.Context, group string, fence int64, unconfirmed bool) {
+	d := g.newDriver(group, fence, unconfirmed)
+	g.mu.Lock()
+	g.drivers[group] = d
+	g.mu.Unlock()
+	g.keepRunning(ctx, "stored jobs of "+group, d.persister.run)
+	g.log.Info().Str("event", "holding").Str("group", group).Int64("fence", fence).Msg("holds the group")
+	g.updateWorkerLists(ctx)
+	g.cache.notify()
+}
+
+// newDriver returns a driver with an empty scheduler that has not started.
+func (g *Gateway) newDriver(group string, fence int64, unconfirmed bool) *groupDriver {
 	rules := g.config.PlacementRules
 	rules.LeaseDuration, rules.LostHolderTimeout = g.settings.LeaseDuration, orphanedRunTimeout
 	rules.DurableHolderEnd = durableHolderEnd(rules)
@@ -323,13 +335,7 @@
 		return state.Evacuated(zone), state.Known()
 	}
 	d.persister = newJobPersister(g, d)
-	g.mu.Lock()
-	g.drivers[group] = d
-	g.mu.Unlock()
-	g.keepRunning(ctx, "stored jobs of "+group, d.persister.run)
-	g.log.Info().Str("event", "holding").Str("group", group).Int64("fence", fence).Msg("holds the group")
-	g.updateWorkerLists(ctx)
-	g.cache.notify()
+	return d
 }
 
 // dropDriver removes the driver of a group.
