Log newer entries of a scheduled job

The log could not tell why a holder stores an occurrence twice: because it does not learn of its own write whose answer was lost, or because it learns of it and does not count it. schedule-read shows the number of stored occurrences before and in the newer entry.

--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -206,7 +206,9 @@
 		p.mu.Unlock()
 		return false
 	}
+	before := open
 	if known != nil {
+		before = known.openJob
 		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
 	} else {
 		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
@@ -214,6 +216,10 @@
 	p.mu.Unlock()
 	switch {
 	case scheduled:
+		if known != nil {
+			p.g.log.Info().Str("event", "schedule-read").Str("job", name).Int64("revision", item.Revision).Int("stored-before", before.Next).Int("stored", open.Next).
+				Bool("cancelled", open.Cancelled).Msg("the scheduled job has changed in the store")
+		}
 		p.wakeUp()
 	case known == nil:
 		p.submit(ctx, open, resumed || open.Progress != nil) // another group may have run it
