Store each occurrence of a scheduled job once

Cause: when the watch showed a newer entry of a known scheduled job, addJob took over its revision but not the number of stored occurrences. The revision is the condition of the next write, so after a write whose answer was lost the holder stored the same occurrence again without a conflict. If the occurrence had ended by then, its key was back, and the next holder ran it.

Change: a newer entry is taken over whole, so that its revision stands for all that the holder knows. The write of an occurrence also needs its open key and the key of its end to be absent.

The simulated store can refuse all or most writes.

--- /dev/null
+++ b/gateway/manual_store_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphireplank.example/samphireplank/claim"
+	"samphireplank.example/samphireplank/evacuation"
+	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
+)
+
+// manualStore is a store whose faults a test sets call by call, so that it forces an order of events.
+type manualStore struct {
+	store.KV
+	fault     simStoreFault // storeSound, storeSilent or storeRefuses
+	afterRead func()        // called between a read by prefix and its answer, once; may be nil
+	mu        sync.Mutex    // protects what follows
+	revision  int64
+	items     map[string]store.KeyValue
+}
+
+func newManualStore() *manualStore {
+	return &manualStore{revision: 100, items: map[string]store.KeyValue{}}
+}
+
+// put writes a key as another VM does, and returns it as a watch does.
+func (s *manualStore) put(t *testing.T, key string, value any) store.KeyValue {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = store.KeyValue{Key: key, Value: encoded, Revision: s.revision}
+	return s.items[key]
+}
+
+// job returns an open job, false if there is none.
+func (s *manualStore) job(t *testing.T, name string) (openJob, bool) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, found := s.items[openJobsPrefix+name]
+	var j openJob
+	if found {
+		if err := json.Unmarshal(item.Value, &j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return j, found
+}
+
+// openItems returns the open jobs in the order in which a watch returns them.
+func (s *manualStore) openItems() []store.KeyValue {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []store.KeyValue
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, openJobsPrefix) {
+			list = append(list, s.items[key])
+		}
+	}
+	slices.SortStableFunc(list, func(a, b store.KeyValue) int { return cmp.Compare(a.Revision, b.Revision) })
+	return list
+}
+
+var errManualNoAnswer = errors.New("no answer")
+
+func (s *manualStore) answer() error {
+	switch s.fault {
+	case storeSilent:
+		return errManualNoAnswer
+	case storeRefuses:
+		return store.ErrNotApplied
+	}
+	return nil
+}
+
+func (s *manualStore) Get(_ context.Context, key string) (store.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.answer(); err != nil {
+		return store.KeyValue{}, err
+	}
+	item, found := s.items[key]
+	if !found {
+		return store.KeyValue{}, store.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *manualStore) Range(_ context.Context, prefix string) (store.Snapshot, error) {
+	if err := s.answer(); err != nil {
+		return store.Snapshot{}, err
+	}
+	s.mu.Lock()
+	snapshot := store.Snapshot{Revision: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Items = append(snapshot.Items, s.items[key])
+		}
+	}
+	s.mu.Unlock()
+	if f := s.afterRead; f != nil {
+		s.afterRead = nil
+		f()
+	}
+	return snapshot, nil
+}
+
+func (s *manualStore) Commit(_ context.Context, t store.Transaction) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault == storeRefuses {
+		return 0, store.ErrNotApplied
+	}
+	for _, c := range t.Conditions {
+		if s.items[c.Key].Revision != c.Revision {
+			return 0, errors.Join(store.ErrConflict, s.answer())
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		p.Revision = s.revision
+		s.items[p.Key] = p
+	}
+	for _, key := range t.Deletes {
+		delete(s.items, key)
+	}
+	return s.revision, s.answer()
+}
+
+// newManualHolder returns the persister of a group that this VM holds. Nothing of it runs by itself.
+func newManualHolder(t *testing.T, keys *manualStore) *jobPersister {
+	t.Helper()
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), ClaimRules: claim.DefaultRules(), Store: keys, Workers: unresponsiveWorkers{}, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	g.cache.learnEvacuations(evacuation.NewState(nil, 1))
+	g.ctx = t.Context()
+	record := claim.Record{VM: "v", Incarnation: g.self.Incarnation}
+	revision := keys.put(t, groupPrefix+"a#0", record).Revision
+	g.cache.holders["a#0"] = holderRecord{Record: record, revision: revision}
+	p := g.newDriver("a#0", revision*fencesPerRevision, false).persister
+	p.restore(t.Context(), store.Snapshot{Revision: revision}, time.Now())
+	return p
+}
+
+// write lets the persister send its next batch.
+func (p *jobPersister) write(ctx context.Context) { p.writeBatch(ctx, p.nextBatch()) }
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -207,11 +207,14 @@
 		return false
 	}
 	before := open
-	if known != nil {
-		before = known.openJob
-		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
-	} else {
+	switch {
+	case known == nil:
 		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
+	case scheduled:
+		before, known.openJob, known.revision = known.openJob, open, item.Revision
+	default:
+		// Only this VM writes the progress of the job, which its scheduler has in a later state.
+		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
 	}
 	p.mu.Unlock()
 	switch {
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -58,6 +58,7 @@
 	occurrence.Work.ID = job.OccurrenceID(series.name, series.Next)
 	counted := series.openJob
 	counted.Next++
+	name := series.name + "." + strconv.Itoa(series.Next)
 	first, err := json.Marshal(counted)
 	second, err2 := json.Marshal(occurrence)
 	if err = errors.Join(err, err2); err != nil {
@@ -65,10 +66,12 @@
 		return
 	}
 	own := store.KeyValue{Key: openJobsPrefix + series.name, Value: first}
-	next := store.KeyValue{Key: openJobsPrefix + series.name + "." + strconv.Itoa(series.Next), Value: second}
+	next := store.KeyValue{Key: openJobsPrefix + name, Value: second}
 	revision, err := p.g.config.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: groupPrefix + p.d.group, Revision: p.holderRevision()}, {Key: own.Key, Revision: series.revision}},
-		Puts:       []store.KeyValue{own, next},
+		Conditions: []store.Condition{
+			{Key: groupPrefix + p.d.group, Revision: p.holderRevision()}, {Key: own.Key, Revision: series.revision}, {Key: next.Key}, {Key: endedJobsPrefix + name},
+		},
+		Puts: []store.KeyValue{own, next},
 	})
 	p.g.log.Info().Str("event", "schedule").Str("job", series.name).Int("occurrence", series.Next).Int64("due-in-ms", time.Until(due).Milliseconds()).
 		Err(err).Bool("stored", err == nil).Send()
--- a/gateway/sim_store_test.go
+++ b/gateway/sim_store_test.go
@@ -20,11 +20,13 @@
 type simStoreFault int
 
 const (
-	storeSound   simStoreFault = iota
-	storeSilent                // no call is answered; a write may be carried out, possibly late
-	storeRefuses               // all calls are refused at once
-	storeSlow                  // calls take some hundred milliseconds
-	storeLossy                 // some answers are lost
+	storeSound       simStoreFault = iota
+	storeSilent                    // no call is answered; a write may be carried out, possibly late
+	storeRefuses                   // all calls are refused at once
+	storeSlow                      // calls take some hundred milliseconds
+	storeLossy                     // some answers are lost
+	storeReadOnly                  // writes are refused at once
+	storeRateLimited               // most writes are refused at once
 )
 
 // simStore is the platform's store. The lock of the simulation protects it.
@@ -108,6 +110,12 @@
 	fault := s.store.faultOf(c.process.machine.name)
 	delay := s.between(time.Millisecond, 4*time.Millisecond)
 	executed, answered := true, true
+	if fault == storeReadOnly || fault == storeRateLimited {
+		refused := write && (fault == storeReadOnly || s.chance(0.8))
+		if fault = storeSound; refused {
+			fault = storeRefuses
+		}
+	}
 	switch fault {
 	case storeSound:
 	case storeRefuses:
