Keep the cancellation of a scheduled job when an older read arrives

What callers would see: a scheduled job whose cancelling was confirmed goes on, until its next occurrence is due.

Cause: after a write whose outcome was unknown, reloadSeries replaced what the holder knew by what it had read, whatever the revision. A cancellation that was delivered between the read and its answer was lost.

Change: entries that were read go through addJob, which takes them over only if they are newer; an answered write does not replace a newer entry either.

Test: TestReadDoesNotUndoCancellation forces the order; on the code before, the occurrence was not cancelled.

--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -80,8 +80,8 @@
 		return
 	}
 	p.mu.Lock()
-	if s := p.series[series.name]; s != nil {
-		s.Next, s.revision = counted.Next, revision
+	if s := p.series[series.name]; s != nil && s.revision < revision { // the job may have been cancelled since
+		s.openJob, s.revision = counted, revision
 	}
 	p.mu.Unlock()
 	next.Revision = revision
@@ -100,19 +100,8 @@
 	}
 	found := false
 	for _, item := range snapshot.Items {
-		if item.Key != openJobsPrefix+name {
-			p.addJob(ctx, item, false)
-			continue
-		}
-		found = true
-		var open openJob
-		if err := json.Unmarshal(item.Value, &open); err != nil {
-			p.g.log.Error().Str("event", "job-malformed").Str("key", item.Key).Err(err).Msg("stored job cannot be decoded")
-			return
-		}
-		p.mu.Lock()
-		p.series[name] = &storedJob{openJob: open, revision: item.Revision, name: name}
-		p.mu.Unlock()
+		found = found || item.Key == openJobsPrefix+name
+		p.addJob(ctx, item, false)
 	}
 	if !found {
 		p.mu.Lock()
--- a/gateway/schedule_test.go
+++ b/gateway/schedule_test.go
@@ -62,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against a cancelled scheduled job whose occurrences run: a read that began before the cancellation replaced the newer record.
+func TestReadDoesNotUndoCancellation(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	p.handleItem(ctx, keys.put(t, openJobsPrefix+scheduledID, scheduledJob()))
+	p.schedule(ctx)
+	keys.afterRead = func() {
+		series, _ := keys.job(t, scheduledID)
+		series.Cancelled = true
+		p.handleItem(ctx, keys.put(t, openJobsPrefix+scheduledID, series))
+	}
+	p.reloadSeries(ctx, scheduledID, errManualNoAnswer)
+	p.schedule(ctx)
+	is.Equal(p.pendingWrites[scheduledID].State, placement.DurableCancelled)
+	p.write(ctx)
+	p.schedule(ctx)
+	_, open := keys.job(t, scheduledID)
+	is.True(!open)
+}
