Keep the progress of a job that was transferred and has come back

What callers would see: tasks run again although their end is stored and acknowledged.

If the answer to the second write of a transfer was lost and the store turned the VM away for some seconds, the other group could run tasks of the job and transfer it back. The VM then read an entry of its own group, kept its older state under the new revision, and its next write replaced the stored progress.

Change: the persister marks a job when it sends that write. A newer entry without a target then shows that the job was away, so the scheduler forgets it and gets it anew. Queued writes are tied to the entry for which they were made, so none of them is sent for the job that has come back. reloadJob no longer sets the known revision to 0, which as a condition means that the key must not exist.

Test: TestReturnedJobKeepsProgressOfOtherGroup forces four orders; on the code before, all four lost the progress.

--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -59,6 +60,7 @@
 	openJob
 	revision int64
 	name     string // key without its prefix
+	leaving  bool   // the write that gives the job to another group was sent; its outcome may be unknown
 }
 
 func newJobPersister(g *Gateway, d *groupDriver) *jobPersister {
@@ -206,9 +208,11 @@
 		p.mu.Unlock()
 		return false
 	}
+	// Once the write that gives the job to another group is sent, only that group writes an entry that names no target again.
+	returned := known != nil && known.leaving && open.TransferTo == ""
 	before := open
 	switch {
-	case known == nil:
+	case known == nil || returned:
 		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
 	case scheduled:
 		before, known.openJob, known.revision = known.openJob, open, item.Revision
@@ -216,18 +220,26 @@
 		// Only this VM writes the progress of the job, which its scheduler has in a later state.
 		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
 	}
+	if returned {
+		delete(p.pendingWrites, id)
+	}
 	p.mu.Unlock()
-	switch {
-	case scheduled:
+	if scheduled {
 		if known != nil {
 			p.g.log.Info().Str("event", "schedule-read").Str("job", name).Int64("revision", item.Revision).Int("stored-before", before.Next).Int("stored", open.Next).
 				Bool("cancelled", open.Cancelled).Msg("the scheduled job has changed in the store")
 		}
 		p.wakeUp()
-	case known == nil:
+		return true
+	}
+	if returned {
+		p.g.log.Info().Str("event", "returned").Str("job", id).Str("group", p.d.group).Int64("revision", item.Revision).Msg("the job was transferred and has come back")
+		p.d.apply(ctx, placement.JobTransferred{Job: id})
+	}
+	if known == nil || returned {
 		p.submit(ctx, open, resumed || open.Progress != nil) // another group may have run it
 	}
-	if open.Cancelled && !scheduled {
+	if open.Cancelled {
 		p.d.apply(ctx, placement.CancelJob{Job: id})
 	}
 	return true
@@ -252,11 +264,16 @@
 // enqueueWrite queues the scheduler's request to write a job; only the newest version of a job is kept.
 func (p *jobPersister) enqueueWrite(s placement.PersistJob) {
 	p.mu.Lock()
+	p.queueWrite(s)
+	p.mu.Unlock()
+	p.wakeUp()
+}
+
+// queueWrite queues a write unless a newer one of the job is queued; the caller holds the lock.
+func (p *jobPersister) queueWrite(s placement.PersistJob) {
 	if p.pendingWrites[s.Job].Version < s.Version {
 		p.pendingWrites[s.Job] = s
 	}
-	p.mu.Unlock()
-	p.wakeUp()
 }
 
 func (p *jobPersister) wakeUp() {
@@ -266,16 +283,25 @@
 	}
 }
 
+// jobWrite is a write of a job. It is dropped once the persister has forgotten the job, also if it knows the job anew.
+type jobWrite struct {
+	placement.PersistJob
+	job *storedJob
+}
+
+// isValid reports whether the write still applies; the caller holds the lock.
+func (p *jobPersister) isValid(w jobWrite) bool { return w.job != nil && p.jobs[w.Job] == w.job }
+
 // nextBatch removes and returns queued writes, those of ended jobs first.
-func (p *jobPersister) nextBatch() []placement.PersistJob {
+func (p *jobPersister) nextBatch() []jobWrite {
 	if !p.holderConfirmed() {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]placement.PersistJob, 0, len(p.pendingWrites))
+	list := make([]jobWrite, 0, len(p.pendingWrites))
 	for _, s := range p.pendingWrites {
-		list = append(list, s)
+		list = append(list, jobWrite{PersistJob: s, job: p.jobs[s.Job]})
 	}
 	sort.Slice(list, func(i, j int) bool {
 		first, second := list[i].State != placement.DurableOpen, list[j].State != placement.DurableOpen
@@ -310,16 +336,14 @@
 }
 
 // writeBatch stores jobs on condition that this VM holds the group and that the jobs have not been changed by others.
-func (p *jobPersister) writeBatch(ctx context.Context, batch []placement.PersistJob) {
+func (p *jobPersister) writeBatch(ctx context.Context, batch []jobWrite) {
 	t := store.Transaction{Conditions: []store.Condition{{Key: groupPrefix + p.d.group, Revision: p.holderRevision()}}}
 	var errs error
-	written := make([]openJob, len(batch)) // the jobs that stay open
 	p.mu.Lock()
+	batch = slices.DeleteFunc(batch, func(w jobWrite) bool { return !p.isValid(w) })
+	written := make([]openJob, len(batch)) // the jobs that stay open
 	for i, s := range batch {
-		j := p.jobs[s.Job]
-		if j == nil {
-			continue
-		}
+		j := s.job
 		t.Conditions = append(t.Conditions, store.Condition{Key: openJobsPrefix + j.name, Revision: j.revision})
 		if s.State != placement.DurableOpen {
 			value, err := json.Marshal(endedJob{Group: p.d.group, State: durableStates[s.State], Ended: time.Now()})
@@ -328,15 +352,19 @@
 			t.Puts = append(t.Puts, store.KeyValue{Key: endedJobsPrefix + j.name, Value: value})
 			continue
 		}
-		written[i] = nextOpenJob(j.openJob, s)
+		written[i] = nextOpenJob(j.openJob, s.PersistJob)
+		j.leaving = j.leaving || written[i].Group != p.d.group
 		value, err := json.Marshal(written[i])
 		errs = errors.Join(errs, err)
 		t.Puts = append(t.Puts, store.KeyValue{Key: openJobsPrefix + j.name, Value: value})
 	}
 	p.mu.Unlock()
-	if errs != nil {
+	switch {
+	case errs != nil:
 		p.g.log.Error().Str("event", "save").Err(errs).Msg("jobs cannot be encoded")
 		return
+	case len(batch) == 0:
+		return
 	}
 	sent := p.g.config.Clock()
 	revision, err := p.g.config.Store.Commit(ctx, t)
@@ -345,14 +373,13 @@
 		p.interval = max(p.interval-p.interval/8, minWriteInterval)
 		endedMessage := peer.Over{States: map[string]string{}}
 		for i, s := range batch {
-			name := p.keyName(s.Job)
 			if s.TransferTo != "" {
-				p.continueTransfer(ctx, s, name, written[i], revision)
+				p.continueTransfer(ctx, s.PersistJob, s.job.name, written[i], revision)
 				continue
 			}
-			p.markPersisted(ctx, s, revision)
+			p.markPersisted(ctx, s.PersistJob, revision)
 			if s.State != placement.DurableOpen {
-				endedMessage.States[name] = string(durableStates[s.State])
+				endedMessage.States[s.job.name] = string(durableStates[s.State])
 			}
 		}
 		if len(endedMessage.States) > 0 {
@@ -367,14 +394,14 @@
 			p.reloadJob(ctx, s)
 		}
 	}
+	p.mu.Lock()
 	for _, s := range batch {
-		p.mu.Lock()
-		open := p.jobs[s.Job] != nil
-		p.mu.Unlock()
-		if open {
-			p.enqueueWrite(s)
+		if p.isValid(s) {
+			p.queueWrite(s.PersistJob)
 		}
 	}
+	p.mu.Unlock()
+	p.wakeUp()
 }
 
 // markPersisted records that a version of a job is stored and reports it to the scheduler.
@@ -409,35 +436,28 @@
 	return true, j.Cancelled
 }
 
-// keyName returns the key, without its prefix, of a job of the scheduler.
-func (p *jobPersister) keyName(id string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if j := p.jobs[id]; j != nil {
-		return j.name
-	}
-	return id
-}
-
 // reloadJob reads a job again after a write that conflicted or whose outcome is unknown.
-func (p *jobPersister) reloadJob(ctx context.Context, s placement.PersistJob) {
-	item, err := p.g.config.Store.Get(ctx, openJobsPrefix+p.keyName(s.Job))
+func (p *jobPersister) reloadJob(ctx context.Context, w jobWrite) {
+	item, err := p.g.config.Store.Get(ctx, openJobsPrefix+w.job.name)
 	switch {
-	case errors.Is(err, store.ErrNotFound):
-		// Only the holder ends a job, so this VM has ended it, or has transferred it.
-		switch {
-		case s.State != placement.DurableOpen:
-			p.markPersisted(ctx, s, 0)
-		case s.TransferTo != "":
-			p.forgetTransferred(ctx, p.keyName(s.Job), s.TransferTo, math.MaxInt64)
-		}
 	case err == nil:
-		p.mu.Lock()
-		if j := p.jobs[s.Job]; j != nil {
-			j.revision = 0 // so that addJob accepts the item that was read
-		}
-		p.mu.Unlock()
 		p.addJob(ctx, item, false)
+	case errors.Is(err, store.ErrNotFound):
+		p.settleMissing(ctx, w)
+	}
+}
+
+// settleMissing handles a write of a job that the store no longer has. Only the holder of its group ends a job.
+func (p *jobPersister) settleMissing(ctx context.Context, w jobWrite) {
+	p.mu.Lock()
+	valid := p.isValid(w)
+	p.mu.Unlock()
+	switch {
+	case !valid:
+	case w.State != placement.DurableOpen: // the write has taken effect
+		p.markPersisted(ctx, w.PersistJob, 0)
+	case w.TransferTo != "": // another group had the job, and has ended it
+		p.forgetTransferred(ctx, w.job.name, w.TransferTo, math.MaxInt64)
 	}
 }
 
--- /dev/null
+++ b/gateway/persister_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
+)
+
+const storedID = "00000000000000bb"
+
+// Guards against tasks that run again after a job was transferred, has run elsewhere and has come back while the store turned this VM
+// away: the VM took over the revision of the newer record without its progress and repeated its own write.
+func TestReturnedJobKeepsProgressOfOtherGroup(t *testing.T) {
+	for name, learn := range map[string]func(p *jobPersister, left, back store.KeyValue){
+		"read after the conflict":        func(*jobPersister, store.KeyValue, store.KeyValue) {},
+		"watch that misses the transfer": func(p *jobPersister, _, back store.KeyValue) { p.handleItem(p.g.ctx, back) },
+		"the same during the write": func(p *jobPersister, _, back store.KeyValue) {
+			batch := p.nextBatch()
+			p.handleItem(p.g.ctx, back)
+			p.writeBatch(p.g.ctx, batch)
+		},
+		"watch during the write": func(p *jobPersister, left, back store.KeyValue) {
+			batch := p.nextBatch()
+			p.handleItem(p.g.ctx, left)
+			p.handleItem(p.g.ctx, back)
+			p.writeBatch(p.g.ctx, batch)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, ctx := is.New(t), t.Context()
+			keys := newManualStore()
+			p := newManualHolder(t, keys)
+			key := openJobsPrefix + storedID
+			p.handleItem(ctx, keys.put(t, key, openJob{
+				Group: "a#0", Accepted: time.Now(), Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute},
+				Work: job.Work{ID: storedID, Steps: []job.Step{{Count: 1, Estimate: time.Second}}},
+			}))
+			p.enqueueWrite(placement.PersistJob{Job: storedID, Version: 5, TransferTo: "b#0", Transfers: 1})
+			p.write(ctx) // names the group
+			keys.fault = storeSilent
+			p.write(ctx) // is carried out
+			keys.fault = storeSound
+			j, _ := keys.job(t, storedID)
+			is.Equal(j.Group, "b#0")
+			left := keys.items[key]
+			j.Progress = &placement.Progress{Done: [][]bool{{true}}, Failed: [][]int{{0}}, Counted: [][]int{{0}}, Runs: [][]int{{1}}, Checkpoints: [][]string{{""}}}
+			j.Group = "a#0"
+			learn(p, left, keys.put(t, key, j))
+			for range 3 {
+				p.write(ctx)
+			}
+			_, open := keys.job(t, storedID)
+			is.True(!open) // nothing was left to run
+			_, ended := keys.items[endedJobsPrefix+storedID]
+			is.True(ended)
+		})
+	}
+}
