Forget a job that the store no longer has

What callers would see: the ends and the progress of a group's durable jobs are not stored any more.

Cause: each write that contains a job without a key conflicts, and it was repeated for good with the other jobs of its batch. Only ends and transfers by this scheduler were settled. A VM that was paused and holds its group again without the store keeps its record, so a write of its earlier scheduler may end a job after the new one has read it.

Change: a job whose open key is missing has ended, since keys are only removed with an end and reads are linearizable; it is forgotten (job-missing).

Test: TestMissingJobDoesNotBlockWrites; on the code before, the other job of the batch was not stored.

--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -458,9 +458,22 @@
 		p.markPersisted(ctx, w.PersistJob, 0)
 	case w.TransferTo != "": // another group had the job, and has ended it
 		p.forgetTransferred(ctx, w.job.name, w.TransferTo, math.MaxInt64)
+	default: // an earlier scheduler of this VM has ended it with a write that took effect late
+		p.forgetEnded(ctx, w)
 	}
 }
 
+// forgetEnded forgets a job that has ended without this scheduler.
+func (p *jobPersister) forgetEnded(ctx context.Context, w jobWrite) {
+	p.mu.Lock()
+	delete(p.jobs, w.Job)
+	delete(p.pendingWrites, w.Job)
+	p.ended[w.job.name] = time.Now()
+	p.mu.Unlock()
+	p.g.log.Warn().Str("event", "job-missing").Str("job", w.Job).Str("group", p.d.group).Msg("the store has ended the job; this scheduler forgets it")
+	p.d.apply(ctx, placement.JobTransferred{Job: w.Job})
+}
+
 // followOpenJobs passes jobs that other VMs have stored or cancelled to the drivers of this VM.
 func (g *Gateway) followOpenJobs(ctx context.Context) {
 	revision := int64(0)
--- a/gateway/persister_test.go
+++ b/gateway/persister_test.go
@@ -61,3 +61,26 @@
 		})
 	}
 }
+
+// Guards against a job that has ended without this scheduler and whose writes, which always conflict, keep those of other jobs from
+// being stored.
+func TestMissingJobDoesNotBlockWrites(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	other := "00000000000000cc"
+	for _, id := range []string{storedID, other} {
+		p.handleItem(ctx, keys.put(t, openJobsPrefix+id, openJob{Group: "a#0", Accepted: time.Now(), Work: job.Work{ID: id, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}}))
+	}
+	delete(keys.items, openJobsPrefix+storedID)
+	for _, id := range []string{storedID, other} {
+		p.enqueueWrite(placement.PersistJob{Job: id, Version: 1, Progress: placement.Progress{Runs: [][]int{{7}}}})
+	}
+	p.write(ctx)
+	p.write(ctx)
+	j, _ := keys.job(t, other)
+	is.True(j.Progress != nil)
+	_, open := keys.job(t, storedID)
+	is.True(!open)
+	is.Equal(len(p.pendingWrites), 0)
+}
