Record the entry of a stored job in one function

recordEntry decides what an entry means for the persister (outdated, new, newer, returned), and addJob acts on it. No behaviour changes; the tests of gateway pass.

--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -182,85 +182,6 @@
 // first one are named like those of a job without a schedule.
 func schedulerID(name string) string { return strings.TrimSuffix(name, ".0") }
 
-// addJob submits a job that the scheduler does not have, or records a newer revision of a known one, and reports
-// whether it did either.
-func (p *jobPersister) addJob(ctx context.Context, item store.KeyValue, resumed bool) bool {
-	name := trimOpenPrefix(item.Key)
-	var open openJob
-	if err := json.Unmarshal(item.Value, &open); err != nil {
-		p.g.log.Error().Str("event", "job-malformed").Str("key", item.Key).Err(err).Msg("stored job cannot be decoded")
-		return false
-	}
-	if open.Group != p.d.group {
-		if p.forgetTransferred(ctx, name, open.Group, item.Revision) {
-			p.g.forwardToHolder(open.Group, item)
-		}
-		return false
-	}
-	scheduled := open.Work.Schedule.Count > 0
-	jobs, id := p.jobs, schedulerID(name)
-	if scheduled {
-		jobs, id = p.series, name
-	}
-	p.mu.Lock()
-	known := jobs[id]
-	if _, ended := p.ended[name]; ended || known != nil && known.revision >= item.Revision || item.Revision <= p.transferred[name].revision {
-		p.mu.Unlock()
-		return false
-	}
-	// Once the write that gives the job to another group is sent, only that group writes an entry that names no target again.
-	returned := known != nil && known.leaving && open.TransferTo == ""
-	before := open
-	switch {
-	case known == nil || returned:
-		jobs[id] = &storedJob{openJob: open, revision: item.Revision, name: name}
-	case scheduled:
-		before, known.openJob, known.revision = known.openJob, open, item.Revision
-	default:
-		// Only this VM writes the progress of the job, which its scheduler has in a later state.
-		known.revision, known.Cancelled, known.TransferTo = item.Revision, open.Cancelled, open.TransferTo
-	}
-	if returned {
-		delete(p.pendingWrites, id)
-	}
-	p.mu.Unlock()
-	if scheduled {
-		if known != nil {
-			p.g.log.Info().Str("event", "schedule-read").Str("job", name).Int64("revision", item.Revision).Int("stored-before", before.Next).Int("stored", open.Next).
-				Bool("cancelled", open.Cancelled).Msg("the scheduled job has changed in the store")
-		}
-		p.wakeUp()
-		return true
-	}
-	if returned {
-		p.g.log.Info().Str("event", "returned").Str("job", id).Str("group", p.d.group).Int64("revision", item.Revision).Msg("the job was transferred and has come back")
-		p.d.apply(ctx, placement.JobTransferred{Job: id})
-	}
-	if known == nil || returned {
-		p.submit(ctx, open, resumed || open.Progress != nil) // another group may have run it
-	}
-	if open.Cancelled {
-		p.d.apply(ctx, placement.CancelJob{Job: id})
-	}
-	return true
-}
-
-// submit submits a durable job to the scheduler.
-func (p *jobPersister) submit(ctx context.Context, open openJob, resumed bool) {
-	age := time.Since(open.Accepted)
-	m := placement.Submit{
-		Work: open.Work, Policy: open.Policy, Age: min(max(age, -scheduleLead), time.Hour), StartDelay: max(-age, 0), Resumed: resumed, Durable: true,
-		Transfers: open.Transfers, TransferTo: open.TransferTo,
-	}
-	if open.Progress != nil {
-		m.Progress = *open.Progress
-	}
-	p.d.apply(ctx, m)
-	if m.StartDelay > 0 {
-		time.AfterFunc(m.StartDelay, func() { p.d.apply(ctx, placement.Tick{}) })
-	}
-}
-
 // enqueueWrite queues the scheduler's request to write a job; only the newest version of a job is kept.
 func (p *jobPersister) enqueueWrite(s placement.PersistJob) {
 	p.mu.Lock()
@@ -342,17 +263,17 @@
 	p.mu.Lock()
 	batch = slices.DeleteFunc(batch, func(w jobWrite) bool { return !p.isValid(w) })
 	written := make([]openJob, len(batch)) // the jobs that stay open
-	for i, s := range batch {
-		j := s.job
+	for i, w := range batch {
+		j := w.job
 		t.Conditions = append(t.Conditions, store.Condition{Key: openJobsPrefix + j.name, Revision: j.revision})
-		if s.State != placement.DurableOpen {
-			value, err := json.Marshal(endedJob{Group: p.d.group, State: durableStates[s.State], Ended: time.Now()})
+		if w.State != placement.DurableOpen {
+			value, err := json.Marshal(endedJob{Group: p.d.group, State: durableStates[w.State], Ended: time.Now()})
 			errs = errors.Join(errs, err)
 			t.Deletes = append(t.Deletes, openJobsPrefix+j.name)
 			t.Puts = append(t.Puts, store.KeyValue{Key: endedJobsPrefix + j.name, Value: value})
 			continue
 		}
-		written[i] = nextOpenJob(j.openJob, s.PersistJob)
+		written[i] = nextOpenJob(j.openJob, w.PersistJob)
 		j.leaving = j.leaving || written[i].Group != p.d.group
 		value, err := json.Marshal(written[i])
 		errs = errors.Join(errs, err)
@@ -372,14 +293,14 @@
 		p.d.confirmedAt.Store(int64(sent)) // the only writer
 		p.interval = max(p.interval-p.interval/8, minWriteInterval)
 		endedMessage := peer.Over{States: map[string]string{}}
-		for i, s := range batch {
-			if s.TransferTo != "" {
-				p.continueTransfer(ctx, s.PersistJob, s.job.name, written[i], revision)
+		for i, w := range batch {
+			if w.TransferTo != "" {
+				p.continueTransfer(ctx, w.PersistJob, w.job.name, written[i], revision)
 				continue
 			}
-			p.markPersisted(ctx, s.PersistJob, revision)
-			if s.State != placement.DurableOpen {
-				endedMessage.States[s.job.name] = string(durableStates[s.State])
+			p.markPersisted(ctx, w.PersistJob, revision)
+			if w.State != placement.DurableOpen {
+				endedMessage.States[w.job.name] = string(durableStates[w.State])
 			}
 		}
 		if len(endedMessage.States) > 0 {
@@ -390,14 +311,14 @@
 	p.interval = min(2*p.interval, maxWriteInterval)
 	p.g.log.Info().Str("event", "save").Str("group", p.d.group).Int("jobs", len(batch)).Err(err).Msg("write of durable jobs failed; it will be retried")
 	if !errors.Is(err, store.ErrNotApplied) {
-		for _, s := range batch {
-			p.reloadJob(ctx, s)
+		for _, w := range batch {
+			p.reloadJob(ctx, w)
 		}
 	}
 	p.mu.Lock()
-	for _, s := range batch {
-		if p.isValid(s) {
-			p.queueWrite(s.PersistJob)
+	for _, w := range batch {
+		if p.isValid(w) {
+			p.queueWrite(w.PersistJob)
 		}
 	}
 	p.mu.Unlock()
