Do not refuse a job whose key exists in the store

What callers would see: a job that is sent again after a lost answer is refused, and so said never to run, and runs all the same.

Cause: the write of the second request conflicted with the keys of the job, and the read of its state failed. storeJob counted the job as not stored.

Change: after a conflict the job may be stored, so that a request without its state ends without a verdict.

Test: TestStoredJobIsNotRefused; on the code before, the job was refused, with its open key and with that of its end.

--- a/gateway/durable.go
+++ b/gateway/durable.go
@@ -122,6 +122,7 @@
 			if err == nil && state != JobUnknown {
 				return Accepted{} // stored by an earlier request for the same job
 			}
+			mayBeStored = true // one of its keys exists, but its state can't be read
 		case !errors.Is(err, store.ErrNotApplied):
 			mayBeStored = true
 		case errors.Is(err, ErrStoreUnavailable) && !mayBeStored:
--- a/gateway/manual_store_test.go
+++ b/gateway/manual_store_test.go
@@ -24,6 +24,7 @@
 type manualStore struct {
 	store.KV
 	fault     simStoreFault // storeSound, storeSilent or storeRefuses
+	noReads   bool          // reads are not answered
 	afterRead func()        // called between a read by prefix and its answer, once; may be nil
 	mu        sync.Mutex    // protects what follows
 	revision  int64
@@ -89,10 +90,22 @@
 	return nil
 }
 
+func (s *manualStore) answerRead() error {
+	if s.noReads {
+		return errManualNoAnswer
+	}
+	return s.answer()
+}
+
+// GetStale returns a key, as Get does.
+func (s *manualStore) GetStale(ctx context.Context, key string) (store.KeyValue, error) {
+	return s.Get(ctx, key)
+}
+
 func (s *manualStore) Get(_ context.Context, key string) (store.KeyValue, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.answer(); err != nil {
+	if err := s.answerRead(); err != nil {
 		return store.KeyValue{}, err
 	}
 	item, found := s.items[key]
@@ -103,7 +116,7 @@
 }
 
 func (s *manualStore) Range(_ context.Context, prefix string) (store.Snapshot, error) {
-	if err := s.answer(); err != nil {
+	if err := s.answerRead(); err != nil {
 		return store.Snapshot{}, err
 	}
 	s.mu.Lock()
@@ -129,7 +142,10 @@
 	}
 	for _, c := range t.Conditions {
 		if s.items[c.Key].Revision != c.Revision {
-			return 0, errors.Join(store.ErrConflict, s.answer())
+			if err := s.answer(); err != nil {
+				return 0, err
+			}
+			return 0, store.ErrConflict
 		}
 	}
 	s.revision++
