Cancel a job whose cancellation arrives during its submission

What callers would see: a durable job whose cancelling was confirmed runs to its end.

Cause: addJob records an entry, then submits the job, then cancels it if that entry says so. A newer entry that another goroutine recorded in between told a scheduler without the job.

Change: after the submission, the recorded entry decides.

Test: TestCancellationDuringSubmission forces the order; on the code before, the job was not cancelled.

--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -40,12 +40,20 @@
 	if change != entryNewer {
 		p.submit(ctx, open, resumed || open.Progress != nil) // another group may have run it
 	}
-	if open.Cancelled {
+	// A newer entry may have been recorded before the scheduler had the job.
+	if p.isCancelled(id) {
 		p.d.apply(ctx, placement.CancelJob{Job: id})
 	}
 	return true
 }
 
+func (p *jobPersister) isCancelled(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.jobs[id]
+	return j != nil && j.Cancelled
+}
+
 func isScheduled(j openJob) bool { return j.Work.Schedule.Count > 0 }
 
 // entryChange says what the entry of a job in the store means for the persister.
--- a/gateway/persister_test.go
+++ b/gateway/persister_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -84,3 +85,21 @@
 	is.True(!open)
 	is.Equal(len(p.pendingWrites), 0)
 }
+
+// Guards against a cancelled job that runs: its cancellation arrived while its submission was on the way to the scheduler, which did not
+// know the job yet.
+func TestCancellationDuringSubmission(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	j := openJob{Group: "a#0", Accepted: time.Now(), Work: job.Work{ID: storedID, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}}
+	stored := keys.put(t, openJobsPrefix+storedID, j)
+	j.Cancelled = true
+	cancelled := keys.put(t, openJobsPrefix+storedID, j)
+	p.d.checkPause = func(ctx context.Context) {
+		p.d.checkPause = func(context.Context) {}
+		p.handleItem(ctx, cancelled)
+	}
+	p.handleItem(ctx, stored)
+	is.Equal(p.pendingWrites[storedID].State, placement.DurableCancelled)
+}
