--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -333,20 +333,6 @@
 	return nil
 }
 
-// holder returns the machine that the store names as the holder of a group of a zone.
-func (c *cluster) holder(zone string) *vm {
-	var r struct {
-		VM string `json:"vm"`
-	}
-	c.decode("samphireplank/groups/"+zone+"#0", &r)
-	for _, m := range c.vms {
-		if m.name == r.VM {
-			return m
-		}
-	}
-	return nil
-}
-
 // decode decodes the value of a key of the store; it leaves the target as it is if there is none.
 func (c *cluster) decode(key string, target any) {
 	if value, ok := c.store.value(key); ok {
@@ -449,3 +435,14 @@
 	}
 	return s.State
 }
+
+// running returns the runs of a job that have not ended.
+func (c *cluster) running(id string) []runView {
+	var list []runView
+	for _, v := range c.seen.views(id + ".") {
+		if v.ended.IsZero() {
+			list = append(list, v)
+		}
+	}
+	return list
+}
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -424,3 +424,13 @@
 	}
 	return list
 }
+
+// isIdle reports whether an executor is there and runs nothing.
+func (e *executor) isIdle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state == "ready" && len(e.runs) == 0
+}
+
+// smallKind is the usual executor of the site.
+var smallKind = executorKind{CPU: 64000, MemoryMB: 131072, Kind: "a"}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,9 +17,10 @@
 type scenario func(rec *record, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"backlog":   backlog,
-	"lasting":   lasting,
 	"noon":      noon,
+	"gang":      gang,
+	"zone":      zone,
+	"lateWrite": lateWrite,
 	"elsewhere": elsewhere,
 	"capacity":  capacity,
 }
