--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,6 +17,7 @@
 type scenario func(rec *record, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
+	"leaving":   leaving,
 	"noon":      noon,
 	"gang":      gang,
 	"zone":      zone,
