Cancel the occurrences of a scheduled job in every group

Cause: the cancellation was written into the entry of the scheduled job alone. Its stored occurrences have entries of their own, which only the holder of the scheduled job's group cancelled, and that group had no holder.

Change: the cancellation is confirmed once the entries of the scheduled job and of all its stored occurrences are cancelled, in this order: no occurrence is stored after the first write, since that needs the revision of the scheduled job. A repeated request, and one whose write got no answer, completes what is missing.

Why it works: whoever has an occurrence, or takes it over later, finds the cancellation in the entry by which it has the occurrence.

Tests: TestCancellationReachesOccurrenceOfOtherGroup, TestCancellationIsCompleteWhenConfirmed and TestIncompleteCancellationIsNotConfirmed fail on the code before, TestOccurrenceIsNotStoredAfterCancellation passes on both.

--- /dev/null
+++ b/gateway/cancel.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"samphireplank.example/samphireplank/store"
+)
+
+// A cancellation is written into the entry of the job, so that whoever has the job or takes it over later reads it there: the holder of its
+// group, the next holder, or another group. Each occurrence of a scheduled job has an entry of its own, perhaps in another group than the
+// scheduled job. The entry of the scheduled job is cancelled first, since no occurrence is stored once its revision has changed, then those
+// of the stored occurrences, and only then is the cancellation confirmed.
+
+// CancelDurable cancels a durable job and returns its state afterwards; JobUnknown means that there is no such job. After ErrStoreUnavailable
+// the job may be cancelled in part, and the request has to be repeated.
+func (g *Gateway) CancelDurable(ctx context.Context, id string) (JobState, error) {
+	open, err := g.cancelEntry(ctx, id)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return g.JobState(ctx, id)
+	case err != nil:
+		return JobUnknown, err
+	case !isScheduled(open):
+		return JobCancelled, nil
+	}
+	for {
+		_, left, err := g.cancelStoredOccurrences(ctx, id)
+		if err == nil && left == 0 {
+			return JobCancelled, nil
+		}
+		if ctx.Err() != nil {
+			return JobUnknown, errors.Join(ErrStoreUnavailable, err)
+		}
+		pause(ctx, commitRetryDelay)
+	}
+}
+
+// cancelEntry cancels the entry of a job or of a scheduled job and returns it; the error is store.ErrNotFound if there is none.
+func (g *Gateway) cancelEntry(ctx context.Context, name string) (openJob, error) {
+	for {
+		item, err := g.config.Store.Get(ctx, openJobsPrefix+name)
+		if errors.Is(err, store.ErrNotFound) {
+			return openJob{}, store.ErrNotFound
+		}
+		if err == nil {
+			var e jobEntry
+			if e, err = decodeEntry(item); err != nil {
+				return openJob{}, errors.Join(ErrStoreUnavailable, err)
+			}
+			if err = g.storeCancelled(ctx, []jobEntry{e}); err == nil {
+				return e.openJob, nil
+			}
+		}
+		// A conflict means that the job has progressed; if the outcome is unknown, the next read shows it.
+		if ctx.Err() != nil {
+			return openJob{}, errors.Join(ErrStoreUnavailable, err)
+		}
+		pause(ctx, commitRetryDelay)
+	}
+}
+
+// cancelStoredOccurrences cancels the stored occurrences of a scheduled job once, whichever groups have them. It returns how many there are, and
+// how many of them have changed meanwhile and are not cancelled yet.
+func (g *Gateway) cancelStoredOccurrences(ctx context.Context, series string) (stored, left int, err error) {
+	snapshot, err := g.config.Store.Range(ctx, openJobsPrefix+series+".")
+	if err != nil {
+		return 0, 0, err
+	}
+	entries := make([]jobEntry, 0, len(snapshot.Items))
+	for _, item := range snapshot.Items {
+		e, err := decodeEntry(item)
+		if err != nil {
+			return 0, 0, err
+		}
+		entries = append(entries, e)
+	}
+	for start := 0; start < len(entries); start += maxJobsPerWrite {
+		batch := entries[start:min(start+maxJobsPerWrite, len(entries))]
+		if err = g.storeCancelled(ctx, batch); err == nil {
+			continue
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			return 0, 0, err
+		}
+		// One that has changed must not keep the others from being cancelled.
+		for i := range batch {
+			switch err := g.storeCancelled(ctx, batch[i:i+1]); {
+			case errors.Is(err, store.ErrConflict):
+				left++
+			case err != nil:
+				return 0, 0, err
+			}
+		}
+	}
+	return len(entries), left, nil
+}
+
+// jobEntry is the entry of an open job in the store.
+type jobEntry struct {
+	openJob
+	item store.KeyValue
+}
+
+func decodeEntry(item store.KeyValue) (jobEntry, error) {
+	e := jobEntry{item: item}
+	if err := json.Unmarshal(item.Value, &e.openJob); err != nil {
+		return jobEntry{}, err
+	}
+	return e, nil
+}
+
+// storeCancelled cancels entries in one write, unless one of them has changed, and passes them to the holders of their groups. Those that are
+// cancelled already are passed on as well, since the VM that has cancelled them may have been lost before it could.
+func (g *Gateway) storeCancelled(ctx context.Context, entries []jobEntry) error {
+	var t store.Transaction
+	var changed []*jobEntry
+	for i := range entries {
+		e := &entries[i]
+		if e.Cancelled {
+			continue
+		}
+		cancelled := e.openJob
+		cancelled.Cancelled = true
+		value, err := json.Marshal(cancelled)
+		if err != nil {
+			return err
+		}
+		t.Conditions = append(t.Conditions, store.Condition{Key: e.item.Key, Revision: e.item.Revision})
+		t.Puts = append(t.Puts, store.KeyValue{Key: e.item.Key, Value: value})
+		changed = append(changed, e)
+	}
+	if len(changed) > 0 {
+		sent := time.Now()
+		revision, err := g.config.Store.Commit(ctx, t)
+		if err != nil {
+			return err
+		}
+		for i, e := range changed {
+			e.Cancelled, e.item.Value, e.item.Revision = true, t.Puts[i].Value, revision
+			g.log.Info().Str("event", "cancel").Str("job", trimOpenPrefix(e.item.Key)).Str("group", e.Group).Int64("revision", revision).
+				Int64("took-ms", time.Since(sent).Milliseconds()).Str("outcome", "stored").Send()
+		}
+	}
+	for _, e := range entries {
+		g.forwardToHolder(e.Group, e.item)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/cancel_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphireplank.example/samphireplank/job"
+	"samphireplank.example/samphireplank/placement"
+)
+
+// occurrenceOf returns occurrence k of a scheduled job, which a group has.
+func occurrenceOf(series openJob, k int, group string) openJob {
+	o := openJob{Group: group, Accepted: time.Now(), Policy: series.Policy, Work: series.Work}
+	o.Work.ID, o.Work.Schedule = job.OccurrenceID(series.Work.ID, k), job.Schedule{}
+	return o
+}
+
+func occurrenceKey(k int) string { return fmt.Sprintf("%s%s.%d", openJobsPrefix, scheduledID, k) }
+
+// Guards against a cancelled scheduled job that goes on in another group: its own group has no holder, and the holder of the occurrence took
+// no notice of a cancellation that was stored in the entry of the scheduled job alone.
+func TestCancellationReachesOccurrenceOfOtherGroup(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	series := scheduledJob()
+	series.Group, series.Next = "c#0", 1
+	keys.put(t, openJobsPrefix+scheduledID, series)
+	p.handleItem(ctx, keys.put(t, occurrenceKey(0), occurrenceOf(series, 0, "a#0")))
+	state, err := p.g.CancelDurable(ctx, scheduledID)
+	is.NoErr(err)
+	is.Equal(state, JobCancelled)
+	for _, item := range keys.openItems() {
+		p.handleItem(ctx, item)
+	}
+	is.Equal(p.pendingWrites[scheduledID].State, placement.DurableCancelled)
+}
+
+// Guards against a confirmed cancellation that leaves out an occurrence, whatever happens to the job while it is cancelled.
+func TestCancellationIsCompleteWhenConfirmed(t *testing.T) {
+	for name, arrange := range map[string]func(t *testing.T, keys *manualStore, series openJob){
+		"first request": func(*testing.T, *manualStore, openJob) {},
+		"request that is repeated after the loss of its VM": func(t *testing.T, keys *manualStore, series openJob) {
+			series.Cancelled = true
+			keys.put(t, openJobsPrefix+scheduledID, series)
+		},
+		"lost answer to the write of the scheduled job": func(_ *testing.T, keys *manualStore, _ openJob) {
+			keys.afterGet = func() { keys.fault = storeSilent }
+			keys.afterSave = func() { keys.fault = storeSound }
+		},
+		"lost answer to the write of an occurrence": func(_ *testing.T, keys *manualStore, _ openJob) {
+			keys.afterRead = func() {
+				keys.fault = storeSilent
+				keys.afterSave = func() { keys.fault = storeSound }
+			}
+		},
+		"an occurrence is stored beside": func(t *testing.T, keys *manualStore, series openJob) {
+			keys.afterGet = func() {
+				series.Next++
+				keys.put(t, openJobsPrefix+scheduledID, series)
+				keys.put(t, occurrenceKey(series.Next-1), occurrenceOf(series, series.Next-1, "a#0"))
+			}
+		},
+		"an occurrence moves to another group": func(t *testing.T, keys *manualStore, series openJob) {
+			keys.afterRead = func() { keys.put(t, occurrenceKey(1), occurrenceOf(series, 1, "b#0")) }
+		},
+		"an occurrence is about to move": func(t *testing.T, keys *manualStore, series openJob) {
+			o := occurrenceOf(series, 1, "a#0")
+			o.TransferTo = "b#0"
+			keys.put(t, occurrenceKey(1), o)
+		},
+		"an occurrence ends": func(_ *testing.T, keys *manualStore, _ openJob) {
+			keys.afterRead = func() {
+				keys.mu.Lock()
+				defer keys.mu.Unlock()
+				delete(keys.items, occurrenceKey(1))
+			}
+		},
+		"more occurrences than fit into one write": func(t *testing.T, keys *manualStore, series openJob) {
+			for k := range 2*maxJobsPerWrite + 1 {
+				keys.put(t, occurrenceKey(k), occurrenceOf(series, k, "a#0"))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			keys := newManualStore()
+			p := newManualHolder(t, keys)
+			series := scheduledJob()
+			series.Next = 2
+			keys.put(t, openJobsPrefix+scheduledID, series)
+			for k, group := range []string{"a#0", "c#0"} {
+				keys.put(t, occurrenceKey(k), occurrenceOf(series, k, group))
+			}
+			arrange(t, keys, series)
+			state, err := p.g.CancelDurable(ctx, scheduledID)
+			is.NoErr(err)
+			is.Equal(state, JobCancelled)
+			for _, item := range keys.openItems() {
+				j, open := keys.job(t, strings.TrimPrefix(item.Key, openJobsPrefix))
+				if !open || !j.Cancelled {
+					t.Errorf("%s of group %s is not cancelled", item.Key, j.Group)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a cancellation that is confirmed although the occurrences could not be cancelled.
+func TestIncompleteCancellationIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*commitRetryDelay)
+	defer cancel()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	series := scheduledJob()
+	series.Next = 1
+	keys.put(t, openJobsPrefix+scheduledID, series)
+	keys.put(t, occurrenceKey(0), occurrenceOf(series, 0, "c#0"))
+	keys.afterRead = func() { keys.fault = storeRefuses }
+	state, err := p.g.CancelDurable(ctx, scheduledID)
+	is.True(errors.Is(err, ErrStoreUnavailable))
+	is.Equal(state, JobUnknown)
+	j, _ := keys.job(t, scheduledID)
+	is.True(j.Cancelled)
+	keys.fault = storeSound
+	state, err = p.g.CancelDurable(t.Context(), scheduledID)
+	is.NoErr(err)
+	is.Equal(state, JobCancelled)
+	o, _ := keys.job(t, scheduledID+".0")
+	is.True(o.Cancelled)
+}
+
+// Guards against an occurrence that is stored after the cancellation was confirmed, by a holder that has not heard of it.
+func TestOccurrenceIsNotStoredAfterCancellation(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	p.handleItem(ctx, keys.put(t, openJobsPrefix+scheduledID, scheduledJob()))
+	series, _ := keys.job(t, scheduledID)
+	series.Cancelled = true
+	keys.put(t, openJobsPrefix+scheduledID, series) // another VM confirms it; its message and the watch are late
+	p.schedule(ctx)
+	_, open := keys.job(t, scheduledID+".0")
+	is.True(!open)
+}
--- a/gateway/manual_store_test.go
+++ b/gateway/manual_store_test.go
@@ -26,6 +26,8 @@
 	fault     simStoreFault // storeSound, storeSilent or storeRefuses
 	noReads   bool          // reads are not answered
 	afterRead func()        // called between a read by prefix and its answer, once; may be nil
+	afterGet  func()        // likewise for a read of one key
+	afterSave func()        // likewise for a write that was carried out
 	mu        sync.Mutex    // protects what follows
 	revision  int64
 	items     map[string]store.KeyValue
@@ -104,11 +106,13 @@
 
 func (s *manualStore) Get(_ context.Context, key string) (store.KeyValue, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.answerRead(); err != nil {
+	err := s.answerRead()
+	item, found := s.items[key]
+	s.mu.Unlock()
+	if err != nil {
 		return store.KeyValue{}, err
 	}
-	item, found := s.items[key]
+	runOnce(&s.afterGet)
 	if !found {
 		return store.KeyValue{}, store.ErrNotFound
 	}
@@ -127,14 +131,26 @@
 		}
 	}
 	s.mu.Unlock()
-	if f := s.afterRead; f != nil {
-		s.afterRead = nil
+	runOnce(&s.afterRead)
+	return snapshot, nil
+}
+
+func runOnce(hook *func()) {
+	if f := *hook; f != nil {
+		*hook = nil
 		f()
 	}
-	return snapshot, nil
 }
 
 func (s *manualStore) Commit(_ context.Context, t store.Transaction) (int64, error) {
+	revision, err := s.save(t)
+	if err == nil || errors.Is(err, errManualNoAnswer) {
+		runOnce(&s.afterSave)
+	}
+	return revision, err
+}
+
+func (s *manualStore) save(t store.Transaction) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fault == storeRefuses {
--- a/gateway/schedule.go
+++ b/gateway/schedule.go
@@ -155,20 +155,15 @@
 	if recent {
 		return true
 	}
-	snapshot, err := p.g.config.Store.Range(ctx, openJobsPrefix+series.name+".")
-	if err != nil {
-		return true
-	}
-	for _, item := range snapshot.Items {
-		if !series.Cancelled {
-			break
-		}
-		name := trimOpenPrefix(item.Key)
-		if _, err := p.g.CancelDurable(ctx, name); err != nil {
-			p.g.log.Info().Str("event", "cancel").Str("job", name).Err(err).Msg("an occurrence was not cancelled; it will be retried")
+	if series.Cancelled {
+		stored, _, err := p.g.cancelStoredOccurrences(ctx, series.name)
+		if err != nil {
+			p.g.log.Info().Str("event", "cancel").Str("job", series.name).Err(err).Msg("occurrences were not cancelled; it will be retried")
 		}
+		return err != nil || stored > 0
 	}
-	return len(snapshot.Items) > 0
+	snapshot, err := p.g.config.Store.Range(ctx, openJobsPrefix+series.name+".")
+	return err != nil || len(snapshot.Items) > 0
 }
 
 // endSeries stores the end of a scheduled job; the job has failed if one of its occurrences has.
