Start nothing of a cancelled job that a scheduler receives

What callers would see: a task of a cancelled job starts, and is stopped at once, when the job arrives at another group long after the cancellation was confirmed.

Cause: the persister submitted the job first and cancelled it then. Outside a restore the scheduler places tasks as soon as a job is submitted. A write that gives a job to another group may take effect seconds after its cancellation.

Change: the submission says that the job is cancelled, and the scheduler closes it before it places tasks.

Test: TestTransferredCancelledJobStartsNothing; on the code before, the scheduler had one run. Its control, a job that is not cancelled, starts.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -12,6 +12,7 @@
 
 	"samphireplank.example/samphireplank/job"
 	"samphireplank.example/samphireplank/placement"
+	"samphireplank.example/samphireplank/store"
 )
 
 // occurrenceOf returns occurrence k of a scheduled job, which a group has.
@@ -152,3 +153,23 @@
 	_, open := keys.job(t, scheduledID+".0")
 	is.True(!open)
 }
+
+func shortJob(group string) openJob {
+	return openJob{Group: group, Accepted: time.Now(), Policy: job.Policy{Service: "s", Stretch: 2, Target: time.Minute}, Work: job.Work{ID: storedID, Steps: []job.Step{{Count: 1, Estimate: time.Second}}}}
+}
+
+// Guards against a cancelled job that starts tasks when its transfer to this group takes effect late.
+func TestTransferredCancelledJobStartsNothing(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		t.Run(fmt.Sprint(cancelled), func(t *testing.T) {
+			is, ctx := is.New(t), t.Context()
+			keys := newManualStore()
+			p := newHolderOfIdleWorker(t, keys)
+			p.restore(ctx, store.Snapshot{Revision: keys.revision}, time.Now())
+			j := shortJob("a#0")
+			j.Cancelled, j.Transfers = cancelled, 1
+			p.handleItem(ctx, keys.put(t, openJobsPrefix+storedID, j))
+			is.Equal(p.runs() == 0, cancelled)
+		})
+	}
+}
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -104,7 +104,7 @@
 	age := time.Since(open.Accepted)
 	m := placement.Submit{
 		Work: open.Work, Policy: open.Policy, Age: min(max(age, -scheduleLead), time.Hour), StartDelay: max(-age, 0), Resumed: resumed, Durable: true,
-		Transfers: open.Transfers, TransferTo: open.TransferTo,
+		Transfers: open.Transfers, TransferTo: open.TransferTo, Cancelled: open.Cancelled,
 	}
 	if open.Progress != nil {
 		m.Progress = *open.Progress
--- a/gateway/manual_store_test.go
+++ b/gateway/manual_store_test.go
@@ -18,6 +18,7 @@
 	"samphireplank.example/samphireplank/evacuation"
 	"samphireplank.example/samphireplank/placement"
 	"samphireplank.example/samphireplank/store"
+	"samphireplank.example/samphireplank/worker"
 )
 
 // manualStore is a store whose faults a test sets call by call, so that it forces an order of events.
@@ -135,6 +136,22 @@
 	return snapshot, nil
 }
 
+// Watch returns the changes at once; ends are not among them.
+func (s *manualStore) Watch(_ context.Context, prefix string, after int64, _ time.Duration) (store.WatchResult, error) {
+	if err := s.answerRead(); err != nil {
+		return store.WatchResult{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := store.WatchResult{Revision: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if item := s.items[key]; strings.HasPrefix(key, prefix) && item.Revision > after {
+			result.Events = append(result.Events, store.Event{KeyValue: item})
+		}
+	}
+	return result, nil
+}
+
 func runOnce(hook *func()) {
 	if f := *hook; f != nil {
 		*hook = nil
@@ -178,16 +195,54 @@
 // newManualHolder returns the persister of a group that this VM holds. Nothing of it runs by itself.
 func newManualHolder(t *testing.T, keys *manualStore) *jobPersister {
 	t.Helper()
-	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), ClaimRules: claim.DefaultRules(), Store: keys, Workers: unresponsiveWorkers{}, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
+	p := newUnrestoredHolder(t, keys, unresponsiveWorkers{})
+	p.restore(t.Context(), store.Snapshot{Revision: keys.revision}, time.Now())
+	return p
+}
+
+// newUnrestoredHolder is like newManualHolder, but the jobs have not been read.
+func newUnrestoredHolder(t *testing.T, keys *manualStore, workers worker.Client) *jobPersister {
+	t.Helper()
+	g := New(Config{Log: zerolog.Nop(), Decoder: fakeDecoder{}, PlacementRules: placement.DefaultRules(), ClaimRules: claim.DefaultRules(), Store: keys, Workers: workers, Settings: Settings{VM: "v", Zone: "a", LeaseDuration: time.Second}})
 	g.cache.learnEvacuations(evacuation.NewState(nil, 1))
 	g.ctx = t.Context()
+	g.cache.workersReadAt = time.Now().Add(-time.Hour) // no worker is missing in the list
 	record := claim.Record{VM: "v", Incarnation: g.self.Incarnation}
 	revision := keys.put(t, groupPrefix+"a#0", record).Revision
 	g.cache.holders["a#0"] = holderRecord{Record: record, revision: revision}
-	p := g.newDriver("a#0", revision*fencesPerRevision, false).persister
-	p.restore(t.Context(), store.Snapshot{Revision: revision}, time.Now())
+	return g.newDriver("a#0", revision*fencesPerRevision, false).persister
+}
+
+// newHolderOfIdleWorker is like newUnrestoredHolder with one worker that would start tasks at once.
+func newHolderOfIdleWorker(t *testing.T, keys *manualStore) *jobPersister {
+	t.Helper()
+	p := newUnrestoredHolder(t, keys, &countingWorkers{})
+	capacity := worker.Resources{MilliCores: 64000, MemoryMiB: 1000}
+	p.d.apply(t.Context(), placement.WorkerList{Workers: []worker.Worker{{ID: "w", Service: "s", Address: "w:1", Zone: "a", Capacity: capacity}}, Revision: 1 << 40})
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		p.d.mu.Lock()
+		accepting := p.d.scheduler.Load("s", capacity).Workers
+		p.d.mu.Unlock()
+		if accepting == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the worker does not accept work")
+		}
+	}
+	p.g.cache.mu.Lock()
+	defer p.g.cache.mu.Unlock()
+	p.g.cache.confirmedAt = bootClock() // the permit for durable jobs
 	return p
 }
 
+// runs returns the number of runs that the scheduler has started.
+func (p *jobPersister) runs() int {
+	p.d.mu.Lock()
+	defer p.d.mu.Unlock()
+	_, _, runs := p.d.scheduler.Stats()
+	return runs
+}
+
 // write lets the persister send its next batch.
 func (p *jobPersister) write(ctx context.Context) { p.writeBatch(ctx, p.nextBatch()) }
--- a/placement/durable.go
+++ b/placement/durable.go
@@ -65,6 +65,9 @@
 	if js.remaining == 0 && !js.closed {
 		s.closeJob(js, Completed{})
 	}
+	if m.Cancelled {
+		s.cancelDurable(js.work.ID) // before tasks are placed
+	}
 }
 
 // durableRunsListed reports whether all workers that an earlier holder may have used have shown their runs under the current
--- a/placement/message.go
+++ b/placement/message.go
@@ -52,6 +52,7 @@
 	Known           int64         // revision of the newest worker entry that the VM knows of, 0 if unknown
 	Transfers       int           // how often a durable job was transferred without a run in between
 	TransferTo      string        // group to which an earlier holder may still be transferring a durable job, empty if to none
+	Cancelled       bool          // a durable job is cancelled: none of its tasks starts, and its runs are stopped
 }
 
 // Progress is the known progress of a job that another holder has run.
