Read the changes of open jobs before a restored group starts tasks

What callers would see: a job that was cancelled while the holder of its group was being replaced starts tasks seconds after the confirmation.

Cause: a new holder reads all open jobs, submits those of its group and then lets them start. Changes that the watch had shown meanwhile were applied only after the first placement, and a VM that held no group before reads all jobs a second time before its watch begins.

Change: after the jobs are submitted, the changes since the revision of the read are read and taken over; only then may tasks start. If the store doesn't answer twice, the jobs start as before, so that an outage of the store doesn't keep a group from its jobs.

Test: TestJobCancelledDuringRestoreStartsNothing; on the code before, the scheduler had one run. Its control, a job that is not cancelled, starts.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -173,3 +173,25 @@
 		})
 	}
 }
+
+// Guards against a job that starts tasks long after its cancellation was confirmed: it was cancelled while the holder of its group read
+// many open jobs, and the holder restored it as it had been before.
+func TestJobCancelledDuringRestoreStartsNothing(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		t.Run(fmt.Sprint(cancelled), func(t *testing.T) {
+			is, ctx := is.New(t), t.Context()
+			keys := newManualStore()
+			p := newHolderOfIdleWorker(t, keys)
+			j := shortJob("a#0")
+			keys.put(t, openJobsPrefix+storedID, j)
+			began := time.Now()
+			snapshot, err := keys.Range(ctx, openJobsPrefix)
+			is.NoErr(err)
+			if j.Cancelled = cancelled; cancelled {
+				keys.put(t, openJobsPrefix+storedID, j) // the watch has not shown it yet
+			}
+			p.restore(ctx, snapshot, began)
+			is.Equal(p.runs() == 0, cancelled)
+		})
+	}
+}
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -116,6 +116,7 @@
 			jobs++
 		}
 	}
+	p.catchUp(ctx, snapshot.Revision)
 	p.d.apply(ctx, placement.RestoreDone{Since: began})
 	p.mu.Lock()
 	p.restoredRevision = max(snapshot.Revision, 1)
@@ -128,6 +129,27 @@
 	p.g.log.Info().Str("event", "restored").Str("group", p.d.group).Int("jobs", jobs).Int64("revision", snapshot.Revision).Msg("restored the durable jobs of the group")
 }
 
+// catchUpWaits are the waits of the watches of catchUp. The second one allows for a long response; it ends at once if there are changes.
+var catchUpWaits = []time.Duration{time.Millisecond, time.Second}
+
+// catchUp takes over the changes since a revision. Many jobs take seconds to read, and one that was cancelled meanwhile must not start
+// tasks. If the store does not answer, the changes arrive with the watch, after the restore.
+func (p *jobPersister) catchUp(ctx context.Context, revision int64) {
+	for _, wait := range catchUpWaits {
+		items, _, err := p.g.openJobsSince(ctx, revision, wait)
+		if errors.Is(err, store.ErrCompacted) {
+			items, _, err = p.g.openJobsSince(ctx, 0, wait)
+		}
+		if err == nil {
+			for _, item := range items {
+				p.addJob(ctx, item, false)
+			}
+			return
+		}
+		p.g.log.Info().Str("event", "restore").Str("group", p.d.group).Int64("revision", revision).Err(err).Msg("the changes of open jobs during the restore were not read")
+	}
+}
+
 // requestRead makes the persister read the open jobs again.
 func (p *jobPersister) requestRead() {
 	p.mu.Lock()
@@ -405,22 +427,7 @@
 			pause(ctx, holdLoopInterval)
 			continue
 		}
-		var items []store.KeyValue
-		var err error
-		if revision == 0 {
-			var snapshot store.Snapshot
-			snapshot, err = g.config.Store.Range(ctx, openJobsPrefix)
-			items, revision = snapshot.Items, snapshot.Revision
-		} else {
-			var changes store.WatchResult
-			changes, err = g.config.Store.Watch(ctx, openJobsPrefix, revision, openJobsWatchTimeout)
-			for _, e := range changes.Events {
-				if !e.Deleted {
-					items = append(items, e.KeyValue)
-				}
-			}
-			revision = max(revision, changes.Revision)
-		}
+		items, next, err := g.openJobsSince(ctx, revision, openJobsWatchTimeout)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			revision = 0
@@ -429,6 +436,7 @@
 			pause(ctx, retryDelay)
 			continue
 		}
+		revision = next
 		for _, d := range g.allDrivers() {
 			for _, item := range items {
 				d.persister.handleItem(ctx, item)
@@ -437,3 +445,19 @@
 		pause(ctx, openJobsWatchInterval)
 	}
 }
+
+// openJobsSince returns the entries of open jobs that have changed since a revision, all of them if it is 0, and the revision up to which
+// they are complete. If nothing has changed, it waits for a change.
+func (g *Gateway) openJobsSince(ctx context.Context, revision int64, wait time.Duration) (items []store.KeyValue, next int64, err error) {
+	if revision == 0 {
+		snapshot, err := g.config.Store.Range(ctx, openJobsPrefix)
+		return snapshot.Items, snapshot.Revision, err
+	}
+	changes, err := g.config.Store.Watch(ctx, openJobsPrefix, revision, wait)
+	for _, e := range changes.Events {
+		if !e.Deleted {
+			items = append(items, e.KeyValue)
+		}
+	}
+	return items, max(revision, changes.Revision), err
+}
