Answer watches in the empty store of the tests

The restore watches open jobs since, and three tests with a store that has no watch failed there: TestIsolatedHolderRenewsLeases, TestRestartedWorkerIsUsedOnEarlierEvidence and TestMalformedSubmissionEndsOneGroupOnly. No check has changed.

--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -55,6 +55,11 @@
 	return store.Snapshot{Revision: 1}, nil
 }
 
+func (emptyStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (store.WatchResult, error) {
+	pause(ctx, wait)
+	return store.WatchResult{Revision: after}, nil
+}
+
 // Guards against a holder that was suspended for seconds and sends orders for a group that another VM has claimed
 // meanwhile: its monotonic clock was stopped, so that its leases and timeouts seem not to have expired.
 func TestPausedHolderSendsNoOrder(t *testing.T) {
