Keep a cancelled job from being stored later

Cause: the cancellation of a job that isn't in the store left nothing behind. Besides, a job that was stored between the reads of a cancellation was reported as queued, with 200, and not cancelled.

Change: the cancellation of an unknown id is stored as an entry without group and work, on condition that the job has neither an entry nor an end. The write of a submission needs the same, so one of the two loses. A submission that finds the entry is refused at once.

Tests: TestJobIsNotStoredAfterCancellation and TestJobStoredDuringCancellationIsCancelled fail on the code before (the job was stored; queued instead of cancelled). TestSweepRemovesWithdrawnJobs guards the removal.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -14,52 +14,81 @@
 // scheduled job. The entry of the scheduled job is cancelled first, since no occurrence is stored once its revision has changed, then those
 // of the stored occurrences, and only then is the cancellation confirmed.
 
-// CancelDurable cancels a durable job and returns its state afterwards; JobUnknown means that there is no such job. After ErrStoreUnavailable
-// the job may be cancelled in part, and the request has to be repeated.
+// CancelDurable cancels a durable job and returns its state afterwards; JobWithdrawn means that there was no such job. After
+// ErrStoreUnavailable the job may be cancelled in part, and the request has to be repeated.
 func (g *Gateway) CancelDurable(ctx context.Context, id string) (JobState, error) {
+	for {
+		state, err := g.cancelOnce(ctx, id)
+		if err == nil {
+			return state, nil
+		}
+		if ctx.Err() != nil || errors.Is(err, errMalformedEntry) {
+			return JobUnknown, errors.Join(ErrStoreUnavailable, err)
+		}
+		pause(ctx, commitRetryDelay)
+	}
+}
+
+// cancelOnce does what CancelDurable does. After store.ErrConflict the job has changed meanwhile.
+func (g *Gateway) cancelOnce(ctx context.Context, id string) (JobState, error) {
 	open, err := g.cancelEntry(ctx, id)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return g.JobState(ctx, id)
+		return g.withdrawJob(ctx, id)
 	case err != nil:
 		return JobUnknown, err
+	case isWithdrawn(open):
+		return JobWithdrawn, nil
 	case !isScheduled(open):
 		return JobCancelled, nil
 	}
-	for {
-		_, left, err := g.cancelStoredOccurrences(ctx, id)
-		if err == nil && left == 0 {
-			return JobCancelled, nil
-		}
-		if ctx.Err() != nil {
-			return JobUnknown, errors.Join(ErrStoreUnavailable, err)
-		}
-		pause(ctx, commitRetryDelay)
+	switch _, left, err := g.cancelStoredOccurrences(ctx, id); {
+	case err != nil:
+		return JobUnknown, err
+	case left > 0:
+		return JobUnknown, store.ErrConflict
 	}
+	return JobCancelled, nil
+}
+
+// A job may also be stored after its cancellation, since a write of its submission was delayed, or is yet to be sent by the VM that has the
+// request. The cancellation of an unknown job is therefore an entry as well. It belongs to no group and has no work, and keeps the job
+// from being stored until it is removed as the entries of ended jobs are.
+
+// isWithdrawn reports whether an entry stands for a job that was cancelled before it was stored.
+func isWithdrawn(j openJob) bool { return j.Cancelled && j.Group == "" }
+
+// withdrawJob cancels a job that is not open, and returns its state if it has ended.
+func (g *Gateway) withdrawJob(ctx context.Context, id string) (JobState, error) {
+	if state, err := g.endedState(ctx, id); err != nil || state != JobUnknown {
+		return state, err
+	}
+	value, err := json.Marshal(openJob{Accepted: time.Now(), Cancelled: true})
+	if err != nil {
+		return JobUnknown, err
+	}
+	key := openJobsPrefix + id
+	_, err = g.withdrawals.commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: key}, {Key: endedJobsPrefix + id}}, Puts: []store.KeyValue{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return JobUnknown, err
+	}
+	g.log.Info().Str("event", "cancel").Str("job", id).Str("outcome", "withdrawn").Send()
+	return JobWithdrawn, nil
 }
 
 // cancelEntry cancels the entry of a job or of a scheduled job and returns it; the error is store.ErrNotFound if there is none.
 func (g *Gateway) cancelEntry(ctx context.Context, name string) (openJob, error) {
-	for {
-		item, err := g.config.Store.Get(ctx, openJobsPrefix+name)
-		if errors.Is(err, store.ErrNotFound) {
-			return openJob{}, store.ErrNotFound
-		}
-		if err == nil {
-			var e jobEntry
-			if e, err = decodeEntry(item); err != nil {
-				return openJob{}, errors.Join(ErrStoreUnavailable, err)
-			}
-			if err = g.storeCancelled(ctx, []jobEntry{e}); err == nil {
-				return e.openJob, nil
-			}
-		}
-		// A conflict means that the job has progressed; if the outcome is unknown, the next read shows it.
-		if ctx.Err() != nil {
-			return openJob{}, errors.Join(ErrStoreUnavailable, err)
-		}
-		pause(ctx, commitRetryDelay)
+	item, err := g.config.Store.Get(ctx, openJobsPrefix+name)
+	if err != nil {
+		return openJob{}, err
+	}
+	e, err := decodeEntry(item)
+	if err != nil {
+		return openJob{}, err
 	}
+	return e.openJob, g.storeCancelled(ctx, []jobEntry{e})
 }
 
 // cancelStoredOccurrences cancels the stored occurrences of a scheduled job once, whichever groups have them. It returns how many there are, and
@@ -104,10 +133,13 @@
 	item store.KeyValue
 }
 
+// errMalformedEntry means that an entry cannot be decoded, for example since a later version has written it.
+var errMalformedEntry = errors.New("the entry of the job cannot be decoded")
+
 func decodeEntry(item store.KeyValue) (jobEntry, error) {
 	e := jobEntry{item: item}
 	if err := json.Unmarshal(item.Value, &e.openJob); err != nil {
-		return jobEntry{}, err
+		return jobEntry{}, errors.Join(errMalformedEntry, err)
 	}
 	return e, nil
 }
--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -195,3 +197,71 @@
 		})
 	}
 }
+
+// Guards against a job that runs after its cancellation was confirmed, since the write of its submission is carried out late, or since its
+// submission is sent again.
+func TestJobIsNotStoredAfterCancellation(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	g, submission := newManualEntry(t, keys)
+	state, err := g.CancelDurable(ctx, storedID)
+	is.NoErr(err)
+	is.Equal(state, JobWithdrawn)
+	late := shortJob("a#0")
+	value, err := json.Marshal(late)
+	is.NoErr(err)
+	_, err = keys.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: openJobsPrefix + storedID}, {Key: endedJobsPrefix + storedID}},
+		Puts:       []store.KeyValue{{Key: openJobsPrefix + storedID, Value: value}},
+	})
+	is.True(errors.Is(err, store.ErrConflict))
+	refused, ok := g.SubmitDurable(ctx, submission).(Refused)
+	is.True(ok)
+	is.Equal(refused.Reason, ReasonWithdrawn)
+	state, err = g.JobState(ctx, storedID)
+	is.NoErr(err)
+	is.Equal(state, JobWithdrawn)
+	state, err = g.CancelDurable(ctx, storedID)
+	is.NoErr(err)
+	is.Equal(state, JobWithdrawn)
+}
+
+// Guards against a confirmed cancellation that did nothing: the job was stored between the reads that had not found it and those that did.
+func TestJobStoredDuringCancellationIsCancelled(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newManualHolder(t, keys)
+	keys.afterGet = func() { keys.put(t, openJobsPrefix+storedID, shortJob("c#0")) }
+	state, err := p.g.CancelDurable(ctx, storedID)
+	is.NoErr(err)
+	is.Equal(state, JobCancelled)
+	j, _ := keys.job(t, storedID)
+	is.True(j.Cancelled)
+}
+
+// Guards against entries of cancelled ids that stay in the store for good, and against their removal while a submission may still arrive.
+func TestSweepRemovesWithdrawnJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), t.Context()
+		keys := newManualStore()
+		p := newManualHolder(t, keys)
+		p.g.cache.partitions["a"], p.g.cache.ownKeysRead = zonePartition{Groups: 1}, true
+		for i := range maxJobsPerWrite + 1 {
+			_, err := p.g.CancelDurable(ctx, fmt.Sprintf("%016x", i))
+			is.NoErr(err)
+		}
+		for _, item := range keys.openItems() {
+			p.handleItem(ctx, item)
+		}
+		keys.mu.Lock()
+		delete(keys.items, openJobsPrefix+fmt.Sprintf("%016x", 3)) // by the sweep of another holder
+		keys.mu.Unlock()
+		time.Sleep(p.entryRetention() - time.Second)
+		p.sweep(ctx)
+		is.Equal(len(keys.openItems()), maxJobsPerWrite)
+		time.Sleep(time.Second)
+		p.sweep(ctx)
+		is.Equal(len(keys.openItems()), 0)
+		is.Equal(len(p.withdrawn), 0)
+	})
+}
--- a/gateway/durable.go
+++ b/gateway/durable.go
@@ -23,7 +23,8 @@
 // JobState is the state of a durable job.
 type JobState string
 
-// The states of a durable job; JobUnknown means that there is no such job.
+// The states of a durable job; JobUnknown means that there is no such job, and JobWithdrawn that there is none and will be none, since its
+// id was cancelled.
 const (
 	JobUnknown   JobState = ""
 	JobQueued    JobState = "queued"
@@ -31,6 +32,7 @@
 	JobCompleted JobState = "completed"
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
+	JobWithdrawn JobState = "withdrawn"
 )
 
 // ErrStoreUnavailable means that the store did not respond, so that the state of a job is unknown or a job was not
@@ -73,6 +75,9 @@
 	commitTimeout = 250 * time.Millisecond
 )
 
+// ReasonWithdrawn is the reason for the refusal of a job whose id was cancelled before it was stored.
+const ReasonWithdrawn = "the job was cancelled before it was stored"
+
 // SubmitDurable stores a durable job, which its group then runs; it returns an Accepted, a Refused or an
 // OutcomeUnknown.
 func (g *Gateway) SubmitDurable(ctx context.Context, s Submission) Reply {
@@ -98,10 +103,10 @@
 		switch state, err := g.JobState(ctx, s.Work.ID); {
 		case err != nil:
 			return OutcomeUnknown{Reason: err.Error()}
-		case state != JobUnknown:
-			return Accepted{}
+		case state == JobUnknown, state == JobWithdrawn:
+			return refusal
 		}
-		return refusal
+		return Accepted{}
 	}
 	value, err := json.Marshal(openJob{Group: group, Accepted: arrived, Policy: s.Policy, Work: s.Work})
 	if err != nil {
@@ -118,8 +123,11 @@
 			g.forwardToHolder(group, item)
 			return Accepted{}
 		case errors.Is(err, store.ErrConflict):
-			state, err := g.JobState(ctx, s.Work.ID)
-			if err == nil && state != JobUnknown {
+			switch state, err := g.JobState(ctx, s.Work.ID); {
+			case err == nil && state == JobWithdrawn:
+				// No write can store the job any more, whatever has become of earlier ones.
+				return Refused{Reason: ReasonWithdrawn, RetryAfter: g.config.PlacementRules.MaxRetryAfter}
+			case err == nil && state != JobUnknown:
 				return Accepted{} // stored by an earlier request for the same job
 			}
 			mayBeStored = true // one of its keys exists, but its state can't be read
@@ -273,6 +281,14 @@
 		return state, err
 	}
 	// The end of a job writes one key and removes the other in one transaction, so a job always has one of the two keys.
+	return g.endedState(ctx, id)
+}
+
+// endedState returns the state of a durable job that has ended, JobUnknown if there is none.
+func (g *Gateway) endedState(ctx context.Context, id string) (JobState, error) {
+	if state, known := g.endedJobs.get(id); known {
+		return state, nil
+	}
 	item, err := g.config.Store.Get(ctx, endedJobsPrefix+id)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
@@ -307,8 +323,13 @@
 		if err := json.Unmarshal(item.Value, &open); err != nil {
 			return JobUnknown, false, errors.Join(ErrStoreUnavailable, err)
 		}
-		state, found = JobCancelled, true
-		if !open.Cancelled {
+		found = true
+		switch {
+		case isWithdrawn(open):
+			state = JobWithdrawn
+		case open.Cancelled:
+			state = JobCancelled
+		default:
 			state = g.queuedOrRunning(ctx, id, open)
 		}
 		if time.Since(open.Accepted) < staleReadMaxAge {
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -18,6 +18,10 @@
 		p.g.log.Error().Str("event", "job-malformed").Str("key", item.Key).Err(err).Msg("stored job cannot be decoded")
 		return false
 	}
+	if isWithdrawn(open) {
+		p.noteWithdrawn(item, open.Accepted)
+		return false
+	}
 	if open.Group != p.d.group {
 		if p.forgetTransferred(ctx, name, open.Group, item.Revision) {
 			p.g.forwardToHolder(open.Group, item)
@@ -47,6 +51,13 @@
 	return true
 }
 
+// noteWithdrawn records a job that was cancelled before it was stored, so that the sweep removes its entry.
+func (p *jobPersister) noteWithdrawn(item store.KeyValue, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.withdrawn[item.Key] = withdrawnEntry{revision: item.Revision, at: at}
+}
+
 func (p *jobPersister) isCancelled(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -48,6 +48,7 @@
 	series            map[string]*storedJob           // scheduled jobs, which the scheduler does not have
 	ended             map[string]time.Time            // by key without its prefix
 	transferred       map[string]transferredJob       // likewise
+	withdrawn         map[string]withdrawnEntry       // jobs that were cancelled before they were stored, by key
 	occurrencesReadAt map[string]time.Time            // when the occurrences of a scheduled job were last read, likewise
 	pendingWrites     map[string]placement.PersistJob // by the scheduler's id
 	readRequested     bool                            // the scheduler has ends of jobs that may have been stored since the jobs were read
@@ -66,7 +67,7 @@
 func newJobPersister(g *Gateway, d *groupDriver) *jobPersister {
 	return &jobPersister{
 		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{},
-		transferred: map[string]transferredJob{}, occurrencesReadAt: map[string]time.Time{}, pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
+		transferred: map[string]transferredJob{}, withdrawn: map[string]withdrawnEntry{}, occurrencesReadAt: map[string]time.Time{}, pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
 	}
 }
 
