Store the cancellation of a best-effort job in progress

What callers would see: a best-effort job runs again after its cancellation was confirmed. The POST is answered with 504 at the cancellation, and a client sends a job again after a 504.

Cause: the VM that had the request in progress ended it and told nobody else.

Change: the cancellation of a job in progress is stored like any other, so that the holders of all groups refuse the job.

Test: TestCancellationOfJobInProgressIsStored. On the code before, the store had no entry and the request was confirmed.

--- a/gateway/active_job.go
+++ b/gateway/active_job.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// CancelActive cancels a job that is in progress at this VM and reports whether there was one.
-func (g *Gateway) CancelActive(id string) bool {
+// cancelActive cancels a job that is in progress at this VM and reports whether there was one.
+func (g *Gateway) cancelActive(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.active[id]
--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -14,9 +14,20 @@
 // scheduled job. The entry of the scheduled job is cancelled first, since no occurrence is stored once its revision has changed, then those
 // of the stored occurrences, and only then is the cancellation confirmed.
 
-// CancelDurable cancels a durable job and returns its state afterwards; JobWithdrawn means that there was no such job. After
-// ErrStoreUnavailable the job may be cancelled in part, and the request has to be repeated.
-func (g *Gateway) CancelDurable(ctx context.Context, id string) (JobState, error) {
+// Cancel cancels a job and returns its state afterwards; JobWithdrawn means that there was no such job. After ErrStoreUnavailable the job may be
+// cancelled in part, and the request has to be repeated.
+func (g *Gateway) Cancel(ctx context.Context, id string) (JobState, error) {
+	active := g.cancelActive(id)
+	// The client of a job in progress here may have sent it to another VM as well, and may send it again.
+	state, err := g.cancelStored(ctx, id)
+	if active && state == JobWithdrawn {
+		state = JobCancelled
+	}
+	return state, err
+}
+
+// cancelStored cancels a job in the store. Its results are those of Cancel.
+func (g *Gateway) cancelStored(ctx context.Context, id string) (JobState, error) {
 	for {
 		state, err := g.cancelOnce(ctx, id)
 		if err == nil {
@@ -29,7 +40,7 @@
 	}
 }
 
-// cancelOnce does what CancelDurable does. After store.ErrConflict the job has changed meanwhile.
+// cancelOnce does what cancelStored does, once. After store.ErrConflict the job has changed meanwhile.
 func (g *Gateway) cancelOnce(ctx context.Context, id string) (JobState, error) {
 	open, err := g.cancelEntry(ctx, id)
 	switch {
--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -37,7 +37,7 @@
 	series.Group, series.Next = "c#0", 1
 	keys.put(t, openJobsPrefix+scheduledID, series)
 	p.handleItem(ctx, keys.put(t, occurrenceKey(0), occurrenceOf(series, 0, "a#0")))
-	state, err := p.g.CancelDurable(ctx, scheduledID)
+	state, err := p.g.Cancel(ctx, scheduledID)
 	is.NoErr(err)
 	is.Equal(state, JobCancelled)
 	for _, item := range keys.openItems() {
@@ -105,7 +105,7 @@
 				keys.put(t, occurrenceKey(k), occurrenceOf(series, k, group))
 			}
 			arrange(t, keys, series)
-			state, err := p.g.CancelDurable(ctx, scheduledID)
+			state, err := p.g.Cancel(ctx, scheduledID)
 			is.NoErr(err)
 			is.Equal(state, JobCancelled)
 			for _, item := range keys.openItems() {
@@ -130,13 +130,13 @@
 	keys.put(t, openJobsPrefix+scheduledID, series)
 	keys.put(t, occurrenceKey(0), occurrenceOf(series, 0, "c#0"))
 	keys.afterRead = func() { keys.fault = storeRefuses }
-	state, err := p.g.CancelDurable(ctx, scheduledID)
+	state, err := p.g.Cancel(ctx, scheduledID)
 	is.True(errors.Is(err, ErrStoreUnavailable))
 	is.Equal(state, JobUnknown)
 	j, _ := keys.job(t, scheduledID)
 	is.True(j.Cancelled)
 	keys.fault = storeSound
-	state, err = p.g.CancelDurable(t.Context(), scheduledID)
+	state, err = p.g.Cancel(t.Context(), scheduledID)
 	is.NoErr(err)
 	is.Equal(state, JobCancelled)
 	o, _ := keys.job(t, scheduledID+".0")
@@ -205,7 +205,7 @@
 	is, ctx := is.New(t), t.Context()
 	keys := newManualStore()
 	g, submission := newManualEntry(t, keys)
-	state, err := g.CancelDurable(ctx, storedID)
+	state, err := g.Cancel(ctx, storedID)
 	is.NoErr(err)
 	is.Equal(state, JobWithdrawn)
 	late := shortJob("a#0")
@@ -222,7 +222,7 @@
 	state, err = g.JobState(ctx, storedID)
 	is.NoErr(err)
 	is.Equal(state, JobWithdrawn)
-	state, err = g.CancelDurable(ctx, storedID)
+	state, err = g.Cancel(ctx, storedID)
 	is.NoErr(err)
 	is.Equal(state, JobWithdrawn)
 }
@@ -233,7 +233,7 @@
 	keys := newManualStore()
 	p := newManualHolder(t, keys)
 	keys.afterGet = func() { keys.put(t, openJobsPrefix+storedID, shortJob("c#0")) }
-	state, err := p.g.CancelDurable(ctx, storedID)
+	state, err := p.g.Cancel(ctx, storedID)
 	is.NoErr(err)
 	is.Equal(state, JobCancelled)
 	j, _ := keys.job(t, storedID)
@@ -248,7 +248,7 @@
 		p := newManualHolder(t, keys)
 		p.g.cache.partitions["a"], p.g.cache.ownKeysRead = zonePartition{Groups: 1}, true
 		for i := range maxJobsPerWrite + 1 {
-			_, err := p.g.CancelDurable(ctx, fmt.Sprintf("%016x", i))
+			_, err := p.g.Cancel(ctx, fmt.Sprintf("%016x", i))
 			is.NoErr(err)
 		}
 		for _, item := range keys.openItems() {
@@ -282,7 +282,7 @@
 	is.Equal(p.runs(), 1)
 
 	other := newUnrestoredHolder(t, keys, unresponsiveWorkers{}).g
-	state, err := other.CancelDurable(ctx, storedID)
+	state, err := other.Cancel(ctx, storedID)
 	is.NoErr(err)
 	is.Equal(state, JobWithdrawn)
 	for _, item := range keys.openItems() {
@@ -312,3 +312,24 @@
 		is.Equal(g.handleVerdict(t.Context(), r, "a#0", peer.NewVerdict(1, verdict)), expected)
 	}
 }
+
+// Guards against a best-effort job that runs again after its cancellation, since its client sends it again to any VM.
+func TestCancellationOfJobInProgressIsStored(t *testing.T) {
+	is := is.New(t)
+	keys := newManualStore()
+	g := newManualHolder(t, keys).g
+	a, first := g.enterJob(t.Context(), Submission{Work: job.Work{ID: storedID, BestEffort: true}})
+	is.True(first)
+	keys.fault = storeRefuses
+	ctx, cancel := context.WithTimeout(t.Context(), 2*commitRetryDelay)
+	defer cancel()
+	_, err := g.Cancel(ctx, storedID)
+	is.True(errors.Is(err, ErrStoreUnavailable)) // it may run again
+	is.True(a.ctx.Err() != nil)
+	keys.fault = storeSound
+	state, err := g.Cancel(t.Context(), storedID)
+	is.NoErr(err)
+	is.Equal(state, JobCancelled)
+	j, _ := keys.job(t, storedID)
+	is.True(isWithdrawn(j))
+}
--- a/gateway/sim_caller_test.go
+++ b/gateway/sim_caller_test.go
@@ -188,7 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.gateway.ctx, 2*time.Second)
 	defer cancel()
-	state, err := p.gateway.CancelDurable(ctx, j.work.ID)
+	state, err := p.gateway.Cancel(ctx, j.work.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.log("job %s is cancelled at %s: %s, %v", j.work.ID, p.machine.name, state, err)
