--- a/gateway/sim_fleet_test.go
+++ b/gateway/sim_fleet_test.go
@@ -91,6 +91,7 @@
 	untold       []*simStream  // connections whose end the other side does not know
 	died         chan struct{} // closed when the process has died
 	dead         bool
+	begun        time.Time
 	stopping     time.Time // when the planned stop began
 	stalledSince time.Time
 	stalledUntil time.Time
@@ -252,7 +253,7 @@
 			out.end(time.Now().Add(time.Millisecond), errSimReset)
 		}
 	}
-	p := &simProcess{sim: s, machine: m, ended: make(chan struct{}), died: make(chan struct{}), callersReset: make(chan struct{}), conns: map[*simConn]struct{}{}}
+	p := &simProcess{sim: s, machine: m, begun: time.Now(), ended: make(chan struct{}), died: make(chan struct{}), callersReset: make(chan struct{}), conns: map[*simConn]struct{}{}}
 	m.process, m.powerOff = p, false
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
