Limit the writes for cancelled ids that do not exist

What callers would see: clients that send DELETE for any number of ids use up the store's rate of writes, which holders need, since stores each of these ids.

Change: a VM sends at most 20 of these writes a second, with up to ten ids each. A single request does not wait.

--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -70,6 +70,10 @@
 // isWithdrawn reports whether an entry stands for a job that was cancelled before it was stored.
 func isWithdrawn(j openJob) bool { return j.Cancelled && j.Group == "" }
 
+// withdrawalSpacing limits a VM to 20 of these writes a second, of the 400 that the store handles for all VMs on the users' small sites, with
+// up to maxJobsPerWrite ids each. Clients can send any number of requests for ids that do not exist.
+const withdrawalSpacing = 50 * time.Millisecond
+
 // withdrawJob cancels a job that is not open, and returns its state if it has ended.
 func (g *Gateway) withdrawJob(ctx context.Context, id string) (JobState, error) {
 	if state, err := g.endedState(ctx, id); err != nil || state != JobUnknown {
--- a/gateway/commit_batcher.go
+++ b/gateway/commit_batcher.go
@@ -13,7 +13,8 @@
 // store does not accept writes, only one job at a time is tried; the others are refused at once, so that their callers
 // do not wait.
 type commitBatcher struct {
-	keys store.KV
+	keys    store.KV
+	spacing time.Duration // minimum time between two writes, of which one is sent at a time; 0 if they are not limited
 
 	mu          sync.Mutex
 	writers     int
@@ -57,7 +58,7 @@
 		return 0, errStoreUnavailable
 	}
 	b.queue = append(b.queue, pending)
-	isWriter := b.writers == 0 || b.writers < maxConcurrentWrites && now.Sub(b.lastWriteAt) > slowWriteTime
+	isWriter := b.writers == 0 || b.spacing == 0 && b.writers < maxConcurrentWrites && now.Sub(b.lastWriteAt) > slowWriteTime
 	if isWriter {
 		b.writers++
 	}
@@ -74,6 +75,11 @@
 	ctx = context.WithoutCancel(ctx) // other callers also wait for these writes
 	for {
 		b.mu.Lock()
+		if wait := time.Until(b.lastWriteAt.Add(b.spacing)); b.spacing > 0 && wait > 0 && len(b.queue) > 0 {
+			b.mu.Unlock()
+			pause(ctx, wait)
+			b.mu.Lock()
+		}
 		var batch []*pendingCommit
 		batch, b.queue = nextBatch(b.queue)
 		if len(batch) == 0 {
--- a/gateway/commit_batcher_test.go
+++ b/gateway/commit_batcher_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -136,3 +138,26 @@
 	_, err = a.commit(context.Background(), createKey("b"))
 	is.NoErr(err)
 }
+
+// Guards against clients that use up the store's rate of writes with cancellations of ids that do not exist.
+func TestSpacedWritesStayBelowTheirRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		keys := &fakeStore{keys: map[string]bool{}}
+		b := &commitBatcher{keys: keys, spacing: withdrawalSpacing}
+		began := time.Now()
+		_, err := b.commit(t.Context(), createKey("first"))
+		is.NoErr(err)
+		is.True(time.Since(began) < withdrawalSpacing) // a single one does not wait
+		var clients errgroup.Group
+		for i := range 30 * maxJobsPerWrite {
+			clients.Go(func() error {
+				_, err := b.commit(t.Context(), createKey(fmt.Sprint(i)))
+				return err
+			})
+		}
+		is.NoErr(clients.Wait())
+		is.Equal(keys.writes, 31)
+		is.True(time.Since(began) >= 30*withdrawalSpacing)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.meter.registerIntake(g.callers.len, g.bodies.used)
 	g.contact.clock, g.contact.outsideLimit = config.Clock, max(config.Settings.ClientRetryDelay-stopTime, minOutsideLimit)
 	g.config.Store, g.config.Workers = monitoredStore{config.Store, g}, monitoredWorkers{config.Workers, g}
-	g.commits.keys, g.withdrawals.keys = g.config.Store, g.config.Store
+	g.commits.keys, g.withdrawals.keys, g.withdrawals.spacing = g.config.Store, g.config.Store, withdrawalSpacing
 	g.meter.set.NewGauge("samphireplank_evacuated_zones", func() float64 { return float64(len(g.cache.evacuationState().Zones)) })
 	return g
 }
