Cancel best-effort jobs while a holder reads the stored ones

What callers would see: a best-effort job whose cancellation was confirmed goes on for as long as a new holder takes to read many stored jobs.

Cause: entries that arrive before the stored jobs are read are put aside. Best-effort jobs run meanwhile.

Change: an entry that stands for a cancelled id takes effect at once.

Test: TestCancellationReachesBestEffortJobDuringRestore; on the code before, the job had no verdict.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -273,14 +273,7 @@
 	keys := newManualStore()
 	p := newHolderOfIdleWorker(t, keys)
 	p.restore(ctx, store.Snapshot{Revision: keys.revision}, time.Now())
-	var verdict placement.Verdict
-	p.d.sendVerdict = func(_ placement.SubmissionKey, v placement.Verdict, _ map[string]placement.Load) { verdict = v }
-	work := shortJob("").Work
-	work.BestEffort = true
-	submit := placement.Submit{Key: placement.SubmissionKey{Conn: 7, Sequence: 1}, Work: work, Policy: shortJob("").Policy, Budget: time.Minute}
-	p.d.apply(ctx, submit)
-	is.Equal(p.runs(), 1)
-
+	verdict := p.runBestEffort(t)
 	other := newUnrestoredHolder(t, keys, unresponsiveWorkers{}).g
 	state, err := other.Cancel(ctx, storedID)
 	is.NoErr(err)
@@ -288,18 +281,52 @@
 	for _, item := range keys.openItems() {
 		p.handleItem(ctx, item)
 	}
-	is.Equal(verdict, placement.Cancelled{})
+	is.Equal(*verdict, placement.Cancelled{})
 
 	// The next holder has read the cancellation, and the VM of the job submits it there.
 	next := newHolderOfIdleWorker(t, keys)
 	snapshot, err := keys.Range(ctx, openJobsPrefix)
 	is.NoErr(err)
 	next.restore(ctx, snapshot, time.Now())
+	submit := bestEffortSubmit()
 	submit.Resumed = true
 	next.d.apply(ctx, submit)
 	is.Equal(next.runs(), 0)
 }
 
+// Guards against a best-effort job that goes on for as long as the holder reads the stored jobs.
+func TestCancellationReachesBestEffortJobDuringRestore(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newHolderOfIdleWorker(t, keys)
+	verdict := p.runBestEffort(t)
+	state, err := p.g.Cancel(ctx, storedID)
+	is.NoErr(err)
+	is.Equal(state, JobWithdrawn)
+	for _, item := range keys.openItems() {
+		p.handleItem(ctx, item)
+	}
+	is.Equal(*verdict, placement.Cancelled{})
+}
+
+func bestEffortSubmit() placement.Submit {
+	j := shortJob("")
+	j.Work.BestEffort = true
+	return placement.Submit{Key: placement.SubmissionKey{Conn: 7, Sequence: 1}, Work: j.Work, Policy: j.Policy, Budget: time.Minute}
+}
+
+// runBestEffort lets the scheduler start a best-effort job of another VM, and returns its verdict once there is one.
+func (p *jobPersister) runBestEffort(t *testing.T) *placement.Verdict {
+	t.Helper()
+	verdict := new(placement.Verdict)
+	p.d.sendVerdict = func(_ placement.SubmissionKey, v placement.Verdict, _ map[string]placement.Load) { *verdict = v }
+	p.d.apply(t.Context(), bestEffortSubmit())
+	if p.runs() != 1 {
+		t.Fatal("the job has not started")
+	}
+	return verdict
+}
+
 // Guards against an entry VM that submits a cancelled job to another group, or tells its caller that it has not run although it may have.
 func TestCancelledVerdictEndsRequest(t *testing.T) {
 	is := is.New(t)
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -19,9 +19,7 @@
 		return false
 	}
 	if isWithdrawn(open) {
-		if p.noteWithdrawn(item, open.Accepted) {
-			p.d.apply(ctx, placement.CancelBestEffort{Job: name})
-		}
+		p.handleWithdrawn(ctx, item, open)
 		return false
 	}
 	if open.Group != p.d.group {
@@ -53,13 +51,16 @@
 	return true
 }
 
-// noteWithdrawn records the entry of a job that was cancelled before it was stored, for the sweep, and reports whether it is new.
-func (p *jobPersister) noteWithdrawn(item store.KeyValue, at time.Time) bool {
+// handleWithdrawn takes over the entry of a job that was cancelled before it was stored: a best-effort job of this id is cancelled, and the
+// sweep removes the entry later.
+func (p *jobPersister) handleWithdrawn(ctx context.Context, item store.KeyValue, open openJob) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	known := p.withdrawn[item.Key].revision >= item.Revision
-	p.withdrawn[item.Key] = withdrawnEntry{revision: item.Revision, at: at}
-	return !known
+	p.withdrawn[item.Key] = withdrawnEntry{revision: item.Revision, at: open.Accepted}
+	p.mu.Unlock()
+	if !known {
+		p.d.apply(ctx, placement.CancelBestEffort{Job: trimOpenPrefix(item.Key)})
+	}
 }
 
 func (p *jobPersister) isCancelled(id string) bool {
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -188,6 +188,10 @@
 	if p.restoredRevision == 0 {
 		p.deferredItems = append(p.deferredItems, item)
 		p.mu.Unlock()
+		// Best-effort jobs run meanwhile.
+		if e, err := decodeEntry(item); err == nil && isWithdrawn(e.openJob) {
+			p.handleWithdrawn(ctx, item, e.openJob)
+		}
 		return
 	}
 	// A job written before the jobs were read and missing among them has ended since.
