--- a/gateway/cancel.go
+++ b/gateway/cancel.go
@@ -14,13 +14,13 @@
 // scheduled job. The entry of the scheduled job is cancelled first, since no occurrence is stored once its revision has changed, then those
 // of the stored occurrences, and only then is the cancellation confirmed.
 
-// Cancel cancels a job and returns its state afterwards; JobWithdrawn means that there was no such job. After ErrStoreUnavailable the job may be
+// Cancel cancels a job and returns its state afterwards; JobTombstone means that there was no such job. After ErrStoreUnavailable the job may be
 // cancelled in part, and the request has to be repeated.
 func (g *Gateway) Cancel(ctx context.Context, id string) (JobState, error) {
 	active := g.cancelActive(id)
 	// The client of a job in progress here may have sent it to another VM as well, and may send it again.
 	state, err := g.cancelStored(ctx, id)
-	if active && state == JobWithdrawn {
+	if active && state == JobTombstone {
 		state = JobCancelled
 	}
 	return state, err
@@ -45,11 +45,11 @@
 	open, err := g.cancelEntry(ctx, id)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return g.withdrawJob(ctx, id)
+		return g.storeTombstone(ctx, id)
 	case err != nil:
 		return JobUnknown, err
-	case isWithdrawn(open):
-		return JobWithdrawn, nil
+	case isTombstone(open):
+		return JobTombstone, nil
 	case !isScheduled(open):
 		return JobCancelled, nil
 	}
@@ -63,19 +63,19 @@
 }
 
 // A job may also be stored after its cancellation, since a write of its submission was delayed, or is yet to be sent by the VM that has the
-// request. The cancellation of an unknown job is therefore an entry as well. It belongs to no group and has no work, and keeps the job
-// from being stored until it is removed as the entries of ended jobs are. The job may also be a best-effort one, which is not stored and is
-// in progress at another VM, so the holders of all groups cancel it.
+// request. The cancellation of an unknown job is therefore stored as a tombstone: an entry without group and work, which keeps the job from
+// being stored until it is removed as the entries of ended jobs are. The job may also be a best-effort one, which is not stored and is in
+// progress at another VM, so the holders of all groups read tombstones and cancel it.
 
-// isWithdrawn reports whether an entry stands for a job that was cancelled before it was stored.
-func isWithdrawn(j openJob) bool { return j.Cancelled && j.Group == "" }
+// isTombstone reports whether an entry is a tombstone.
+func isTombstone(j openJob) bool { return j.Cancelled && j.Group == "" }
 
-// withdrawalSpacing limits a VM to 20 of these writes a second, of the 400 that the store handles for all VMs on the users' small sites, with
+// tombstoneSpacing limits a VM to 20 of these writes a second, of the 400 that the store handles for all VMs on the users' small sites, with
 // up to maxJobsPerWrite ids each. Clients can send any number of requests for ids that do not exist.
-const withdrawalSpacing = 50 * time.Millisecond
+const tombstoneSpacing = 50 * time.Millisecond
 
-// withdrawJob cancels a job that is not open, and returns its state if it has ended.
-func (g *Gateway) withdrawJob(ctx context.Context, id string) (JobState, error) {
+// storeTombstone cancels a job that is not open, or returns its state if it has ended.
+func (g *Gateway) storeTombstone(ctx context.Context, id string) (JobState, error) {
 	if state, err := g.endedState(ctx, id); err != nil || state != JobUnknown {
 		return state, err
 	}
@@ -84,14 +84,14 @@
 		return JobUnknown, err
 	}
 	item := store.KeyValue{Key: openJobsPrefix + id, Value: value}
-	if item.Revision, err = g.withdrawals.commit(ctx, store.Transaction{
+	if item.Revision, err = g.tombstones.commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: item.Key}, {Key: endedJobsPrefix + id}}, Puts: []store.KeyValue{item},
 	}); err != nil {
 		return JobUnknown, err
 	}
 	g.forwardCancelled("", item)
-	g.log.Info().Str("event", "cancel").Str("job", id).Str("outcome", "withdrawn").Send()
-	return JobWithdrawn, nil
+	g.log.Info().Str("event", "cancel").Str("job", id).Str("outcome", "tombstone").Send()
+	return JobTombstone, nil
 }
 
 // cancelEntry cancels the entry of a job or of a scheduled job and returns it; the error is store.ErrNotFound if there is none.
--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -207,7 +207,7 @@
 	g, submission := newManualEntry(t, keys)
 	state, err := g.Cancel(ctx, storedID)
 	is.NoErr(err)
-	is.Equal(state, JobWithdrawn)
+	is.Equal(state, JobTombstone)
 	late := shortJob("a#0")
 	value, err := json.Marshal(late)
 	is.NoErr(err)
@@ -218,13 +218,13 @@
 	is.True(errors.Is(err, store.ErrConflict))
 	refused, ok := g.SubmitDurable(ctx, submission).(Refused)
 	is.True(ok)
-	is.Equal(refused.Reason, ReasonWithdrawn)
+	is.Equal(refused.Reason, reasonCancelledBefore)
 	state, err = g.JobState(ctx, storedID)
 	is.NoErr(err)
-	is.Equal(state, JobWithdrawn)
+	is.Equal(state, JobTombstone)
 	state, err = g.Cancel(ctx, storedID)
 	is.NoErr(err)
-	is.Equal(state, JobWithdrawn)
+	is.Equal(state, JobTombstone)
 }
 
 // Guards against a confirmed cancellation that did nothing: the job was stored between the reads that had not found it and those that did.
@@ -241,7 +241,7 @@
 }
 
 // Guards against entries of cancelled ids that stay in the store for good, and against their removal while a submission may still arrive.
-func TestSweepRemovesWithdrawnJobs(t *testing.T) {
+func TestSweepRemovesTombstones(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is, ctx := is.New(t), t.Context()
 		keys := newManualStore()
@@ -263,7 +263,7 @@
 		time.Sleep(time.Second)
 		p.sweep(ctx)
 		is.Equal(len(keys.openItems()), 0)
-		is.Equal(len(p.withdrawn), 0)
+		is.Equal(len(p.tombstones), 0)
 	})
 }
 
@@ -277,7 +277,7 @@
 	other := newUnrestoredHolder(t, keys, unresponsiveWorkers{}).g
 	state, err := other.Cancel(ctx, storedID)
 	is.NoErr(err)
-	is.Equal(state, JobWithdrawn)
+	is.Equal(state, JobTombstone)
 	for _, item := range keys.openItems() {
 		p.handleItem(ctx, item)
 	}
@@ -302,7 +302,7 @@
 	verdict := p.runBestEffort(t)
 	state, err := p.g.Cancel(ctx, storedID)
 	is.NoErr(err)
-	is.Equal(state, JobWithdrawn)
+	is.Equal(state, JobTombstone)
 	for _, item := range keys.openItems() {
 		p.handleItem(ctx, item)
 	}
@@ -358,5 +358,5 @@
 	is.NoErr(err)
 	is.Equal(state, JobCancelled)
 	j, _ := keys.job(t, storedID)
-	is.True(isWithdrawn(j))
+	is.True(isTombstone(j))
 }
--- a/gateway/commit_batcher_test.go
+++ b/gateway/commit_batcher_test.go
@@ -144,11 +144,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		keys := &fakeStore{keys: map[string]bool{}}
-		b := &commitBatcher{keys: keys, spacing: withdrawalSpacing}
+		b := &commitBatcher{keys: keys, spacing: tombstoneSpacing}
 		began := time.Now()
 		_, err := b.commit(t.Context(), createKey("first"))
 		is.NoErr(err)
-		is.True(time.Since(began) < withdrawalSpacing) // a single one does not wait
+		is.True(time.Since(began) < tombstoneSpacing) // a single one does not wait
 		var clients errgroup.Group
 		for i := range 30 * maxJobsPerWrite {
 			clients.Go(func() error {
@@ -158,6 +158,6 @@
 		}
 		is.NoErr(clients.Wait())
 		is.Equal(keys.writes, 31)
-		is.True(time.Since(began) >= 30*withdrawalSpacing)
+		is.True(time.Since(began) >= 30*tombstoneSpacing)
 	})
 }
--- a/gateway/durable.go
+++ b/gateway/durable.go
@@ -23,7 +23,7 @@
 // JobState is the state of a durable job.
 type JobState string
 
-// The states of a durable job; JobUnknown means that there is no such job, and JobWithdrawn that there is none and will be none, since its
+// The states of a durable job; JobUnknown means that there is no such job, and JobTombstone that there is none and will be none, since its
 // id was cancelled.
 const (
 	JobUnknown   JobState = ""
@@ -32,7 +32,7 @@
 	JobCompleted JobState = "completed"
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
-	JobWithdrawn JobState = "withdrawn"
+	JobTombstone JobState = "tombstone"
 )
 
 // ErrStoreUnavailable means that the store did not respond, so that the state of a job is unknown or a job was not
@@ -75,8 +75,8 @@
 	commitTimeout = 250 * time.Millisecond
 )
 
-// ReasonWithdrawn is the reason for the refusal of a job whose id was cancelled before it was stored.
-const ReasonWithdrawn = "the job was cancelled before it was stored"
+// reasonCancelledBefore is the reason for the refusal of a job whose id has a tombstone.
+const reasonCancelledBefore = "the job was cancelled before it was stored"
 
 // SubmitDurable stores a durable job, which its group then runs; it returns an Accepted, a Refused or an
 // OutcomeUnknown.
@@ -103,7 +103,7 @@
 		switch state, err := g.JobState(ctx, s.Work.ID); {
 		case err != nil:
 			return OutcomeUnknown{Reason: err.Error()}
-		case state == JobUnknown, state == JobWithdrawn:
+		case state == JobUnknown, state == JobTombstone:
 			return refusal
 		}
 		return Accepted{}
@@ -124,9 +124,9 @@
 			return Accepted{}
 		case errors.Is(err, store.ErrConflict):
 			switch state, err := g.JobState(ctx, s.Work.ID); {
-			case err == nil && state == JobWithdrawn:
+			case err == nil && state == JobTombstone:
 				// No write can store the job any more, whatever has become of earlier ones.
-				return Refused{Reason: ReasonWithdrawn, RetryAfter: g.config.PlacementRules.MaxRetryAfter}
+				return Refused{Reason: reasonCancelledBefore, RetryAfter: g.config.PlacementRules.MaxRetryAfter}
 			case err == nil && state != JobUnknown:
 				return Accepted{} // stored by an earlier request for the same job
 			}
@@ -325,8 +325,8 @@
 		}
 		found = true
 		switch {
-		case isWithdrawn(open):
-			state = JobWithdrawn
+		case isTombstone(open):
+			state = JobTombstone
 		case open.Cancelled:
 			state = JobCancelled
 		default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,7 @@
 	nextLink         atomic.Uint64
 	nextRequest      atomic.Uint64
 	commits          commitBatcher // of new jobs
-	withdrawals      commitBatcher // of jobs that were cancelled before they were stored
+	tombstones       commitBatcher // of cancelled ids without a job
 	pauseDetector    *pauseDetector
 	contact          contactMonitor
 	endedJobs        endedCache
@@ -106,7 +106,7 @@
 	g.meter.registerIntake(g.callers.len, g.bodies.used)
 	g.contact.clock, g.contact.outsideLimit = config.Clock, max(config.Settings.ClientRetryDelay-stopTime, minOutsideLimit)
 	g.config.Store, g.config.Workers = monitoredStore{config.Store, g}, monitoredWorkers{config.Workers, g}
-	g.commits.keys, g.withdrawals.keys, g.withdrawals.spacing = g.config.Store, g.config.Store, withdrawalSpacing
+	g.commits.keys, g.tombstones.keys, g.tombstones.spacing = g.config.Store, g.config.Store, tombstoneSpacing
 	g.meter.set.NewGauge("samphireplank_evacuated_zones", func() float64 { return float64(len(g.cache.evacuationState().Zones)) })
 	return g
 }
--- a/gateway/job_entry.go
+++ b/gateway/job_entry.go
@@ -18,8 +18,8 @@
 		p.g.log.Error().Str("event", "job-malformed").Str("key", item.Key).Err(err).Msg("stored job cannot be decoded")
 		return false
 	}
-	if isWithdrawn(open) {
-		p.handleWithdrawn(ctx, item, open)
+	if isTombstone(open) {
+		p.handleTombstone(ctx, item, open)
 		return false
 	}
 	if open.Group != p.d.group {
@@ -51,12 +51,11 @@
 	return true
 }
 
-// handleWithdrawn takes over the entry of a job that was cancelled before it was stored: a best-effort job of this id is cancelled, and the
-// sweep removes the entry later.
-func (p *jobPersister) handleWithdrawn(ctx context.Context, item store.KeyValue, open openJob) {
+// handleTombstone cancels a best-effort job of the id of a tombstone, which the sweep removes later.
+func (p *jobPersister) handleTombstone(ctx context.Context, item store.KeyValue, open openJob) {
 	p.mu.Lock()
-	known := p.withdrawn[item.Key].revision >= item.Revision
-	p.withdrawn[item.Key] = withdrawnEntry{revision: item.Revision, at: open.Accepted}
+	known := p.tombstones[item.Key].revision >= item.Revision
+	p.tombstones[item.Key] = tombstone{revision: item.Revision, at: open.Accepted}
 	p.mu.Unlock()
 	if !known {
 		p.d.apply(ctx, placement.CancelBestEffort{Job: trimOpenPrefix(item.Key)})
--- a/gateway/persister.go
+++ b/gateway/persister.go
@@ -48,7 +48,7 @@
 	series            map[string]*storedJob           // scheduled jobs, which the scheduler does not have
 	ended             map[string]time.Time            // by key without its prefix
 	transferred       map[string]transferredJob       // likewise
-	withdrawn         map[string]withdrawnEntry       // jobs that were cancelled before they were stored, by key
+	tombstones        map[string]tombstone            // by key
 	occurrencesReadAt map[string]time.Time            // when the occurrences of a scheduled job were last read, likewise
 	pendingWrites     map[string]placement.PersistJob // by the scheduler's id
 	readRequested     bool                            // the scheduler has ends of jobs that may have been stored since the jobs were read
@@ -67,7 +67,7 @@
 func newJobPersister(g *Gateway, d *groupDriver) *jobPersister {
 	return &jobPersister{
 		g: g, d: d, jobs: map[string]*storedJob{}, series: map[string]*storedJob{}, ended: map[string]time.Time{},
-		transferred: map[string]transferredJob{}, withdrawn: map[string]withdrawnEntry{}, occurrencesReadAt: map[string]time.Time{}, pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
+		transferred: map[string]transferredJob{}, tombstones: map[string]tombstone{}, occurrencesReadAt: map[string]time.Time{}, pendingWrites: map[string]placement.PersistJob{}, wake: make(chan struct{}, 1), interval: minWriteInterval,
 	}
 }
 
@@ -189,8 +189,8 @@
 		p.deferredItems = append(p.deferredItems, item)
 		p.mu.Unlock()
 		// Best-effort jobs run meanwhile.
-		if e, err := decodeEntry(item); err == nil && isWithdrawn(e.openJob) {
-			p.handleWithdrawn(ctx, item, e.openJob)
+		if e, err := decodeEntry(item); err == nil && isTombstone(e.openJob) {
+			p.handleTombstone(ctx, item, e.openJob)
 		}
 		return
 	}
--- a/gateway/sim_cancel_test.go
+++ b/gateway/sim_cancel_test.go
@@ -49,7 +49,7 @@
 			})
 		})
 	}
-	if t.Log(counts); counts["transfers"] == 0 || counts["cancelled"] == 0 || counts["withdrawn"] == 0 {
+	if t.Log(counts); counts["transfers"] == 0 || counts["cancelled"] == 0 || counts["tombstone"] == 0 {
 		t.Error("the histories have no transfer, no cancelled job or none that was unknown")
 	}
 }
--- a/gateway/sweep.go
+++ b/gateway/sweep.go
@@ -27,12 +27,12 @@
 			delete(p.transferred, name)
 		}
 	}
-	withdrawn := p.expiredWithdrawn()
+	tombstones := p.expiredTombstones()
 	p.mu.Unlock()
 	if groups := p.g.groups(); len(groups) == 0 || p.d.group != slices.Min(groups) {
 		return // only the holder of the first group sweeps
 	}
-	p.removeWithdrawn(ctx, withdrawn)
+	p.removeTombstones(ctx, tombstones)
 	snapshot, err := p.g.config.Store.Range(ctx, endedJobsPrefix)
 	if err != nil {
 		return // the next sweep retries
@@ -61,34 +61,34 @@
 	flush()
 }
 
-// entryRetention is how long the entries of ended and withdrawn jobs are kept.
+// entryRetention is how long the entries of ended jobs and tombstones are kept.
 func (p *jobPersister) entryRetention() time.Duration {
 	return p.g.settings.EndedJobRetention + clockSkewMargin
 }
 
-// withdrawnEntry is the entry of a job that was cancelled before it was stored.
-type withdrawnEntry struct {
+// tombstone is a known tombstone, see isTombstone.
+type tombstone struct {
 	revision int64
 	at       time.Time
 }
 
-// expiredWithdrawn returns the entries of withdrawn jobs that the sweep has to remove, and forgets those that the sweep of another holder
-// has removed long ago; the caller holds the lock.
-func (p *jobPersister) expiredWithdrawn() []store.Condition {
+// expiredTombstones returns the tombstones that the sweep has to remove, and forgets those that the sweep of another holder has removed long
+// ago; the caller holds the lock.
+func (p *jobPersister) expiredTombstones() []store.Condition {
 	var expired []store.Condition
-	for key, w := range p.withdrawn {
-		switch age := time.Since(w.at); {
+	for key, known := range p.tombstones {
+		switch age := time.Since(known.at); {
 		case age >= 2*p.entryRetention()+sweepInterval:
-			delete(p.withdrawn, key)
+			delete(p.tombstones, key)
 		case age >= p.entryRetention():
-			expired = append(expired, store.Condition{Key: key, Revision: w.revision})
+			expired = append(expired, store.Condition{Key: key, Revision: known.revision})
 		}
 	}
 	return expired
 }
 
-// removeWithdrawn removes the entries of withdrawn jobs.
-func (p *jobPersister) removeWithdrawn(ctx context.Context, expired []store.Condition) {
+// removeTombstones removes tombstones from the store.
+func (p *jobPersister) removeTombstones(ctx context.Context, expired []store.Condition) {
 	for batch := range slices.Chunk(expired, maxJobsPerWrite) {
 		t := store.Transaction{Conditions: batch}
 		for _, c := range batch {
@@ -98,16 +98,16 @@
 		switch {
 		case errors.Is(err, store.ErrConflict) && len(batch) > 1:
 			for i := range batch { // one was removed by another holder
-				p.removeWithdrawn(ctx, batch[i:i+1])
+				p.removeTombstones(ctx, batch[i:i+1])
 			}
 		case err == nil, errors.Is(err, store.ErrConflict):
 			p.mu.Lock()
 			for _, c := range batch {
-				delete(p.withdrawn, c.Key)
+				delete(p.tombstones, c.Key)
 			}
 			p.mu.Unlock()
 		default:
-			p.g.log.Info().Str("event", "sweep").Str("group", p.d.group).Err(err).Msg("removal of withdrawn jobs failed; the next sweep retries")
+			p.g.log.Info().Str("event", "sweep").Str("group", p.d.group).Err(err).Msg("removal of tombstones failed; the next sweep retries")
 		}
 	}
 }
