--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -360,3 +360,69 @@
 	j, _ := keys.job(t, storedID)
 	is.True(isTombstone(j))
 }
+
+// Guards against a holder that undoes a cancellation by a write of its own, which it prepared before it heard of it: of the progress, or of one
+// of the two writes that give the job to another group.
+func TestWritesOfHolderKeepCancellation(t *testing.T) {
+	progress := placement.PersistJob{Job: storedID, Version: 1, Progress: placement.Progress{Runs: [][]int{{1}}}}
+	transfer := placement.PersistJob{Job: storedID, Version: 5, TransferTo: "b#0", Transfers: 1}
+	for name, c := range map[string]struct {
+		write  placement.PersistJob
+		before int // writes that are stored before the cancellation
+		lost   bool
+	}{
+		"progress":                     {progress, 0, false},
+		"progress, answer lost":        {progress, 0, true},
+		"first write of a transfer":    {transfer, 0, false},
+		"second write":                 {transfer, 1, false},
+		"second write, answer lost":    {transfer, 1, true},
+		"after the transfer is stored": {transfer, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, ctx := is.New(t), t.Context()
+			keys := newManualStore()
+			other := newUnrestoredHolder(t, keys, unresponsiveWorkers{}).g
+			p := newManualHolder(t, keys) // has the later record
+			p.handleItem(ctx, keys.put(t, openJobsPrefix+storedID, shortJob("a#0")))
+			p.enqueueWrite(c.write)
+			for range c.before {
+				p.write(ctx)
+			}
+			batch := p.nextBatch()
+			state, err := other.Cancel(ctx, storedID)
+			is.NoErr(err)
+			is.Equal(state, JobCancelled)
+			if c.lost {
+				keys.fault = storeSilent
+			}
+			p.writeBatch(ctx, batch)
+			keys.fault = storeSound
+			for range 4 {
+				p.write(ctx)
+			}
+			if j, open := keys.job(t, storedID); open {
+				is.Equal(j.Group, "b#0") // its holder starts nothing
+				is.True(j.Cancelled)
+				return
+			}
+			var end endedJob
+			is.NoErr(json.Unmarshal(keys.items[endedJobsPrefix+storedID].Value, &end))
+			is.Equal(end.State, JobCancelled)
+		})
+	}
+}
+
+// Guards against a cancelled job that starts tasks since the message with its earlier entry arrives after the one with the cancellation.
+func TestEarlierEntryDoesNotUndoCancellation(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	keys := newManualStore()
+	p := newHolderOfIdleWorker(t, keys)
+	p.restore(ctx, store.Snapshot{Revision: keys.revision}, time.Now())
+	j := shortJob("a#0")
+	stored := keys.put(t, openJobsPrefix+storedID, j)
+	j.Cancelled = true
+	p.handleItem(ctx, keys.put(t, openJobsPrefix+storedID, j))
+	p.handleItem(ctx, stored)
+	is.Equal(p.runs(), 0)
+	is.Equal(p.pendingWrites[storedID].State, placement.DurableCancelled)
+}
